--- a/gapcove/interface.py
+++ b/puffinpost/interface.py
@@ -1,4 +1,4 @@
-"""The types that go into and come out of :class:`gapcove.rules.Balancer`.
+"""The types that go into and come out of :class:`puffinpost.rules.Balancer`.
 
 Nothing here decides anything. All times are integer nanoseconds of the clock that the caller hands to
 ``handle``; a span is named ``..._ns`` too. Loads are work a second, in nanoseconds of a standard core.
--- a/gapcove/rules.py
+++ b/puffinpost/rules.py
@@ -1,4 +1,4 @@
-"""All decisions of gapcove. Read gapcove/interface.py first: it holds every type that goes in and out.
+"""All decisions of puffinpost. Read puffinpost/interface.py first: it holds every type that goes in and out.
 
 A connection goes to the server with the highest score: free CPU + free RAM + free bandwidth, up to 1000
 points each, plus a bonus where this balancer holds connections of the same group. Each placement adds its
@@ -15,7 +15,7 @@
 import math
 import random
 
-from gapcove.interface import (
+from puffinpost.interface import (
     NEVER_RAN, Action, Cancel, ClientGone, DelayNote, Effect, Established, Event, Fail, Inherited, ListKind,
     LoadNote, Log, Move, Outcome, Probe, ProbeResult, Refuse, Request, RequestClass, RequestId, Result, Scope,
     Send, ServerId, ServerLine, ServerList, Settings, Status, Subscribe, Timer, TimerDue,
--- a/gapcove/simhost.py
+++ b/puffinpost/simhost.py
@@ -6,9 +6,9 @@
 import traceback
 from typing import BinaryIO
 
-from gapcove import wire
-from gapcove.interface import Action
-from gapcove.rules import Balancer
+from puffinpost import wire
+from puffinpost.interface import Action
+from puffinpost.rules import Balancer
 
 
 class Host:
@@ -65,7 +65,7 @@
             sink.write(host.answer(frame))
             sink.flush()
     except wire.WireError as problem:
-        print(f"gapcove.simhost: batch {number}: {problem}", file=sys.stderr)
+        print(f"puffinpost.simhost: batch {number}: {problem}", file=sys.stderr)
         return 2
     return 0
 
--- a/gapcove/wire.py
+++ b/puffinpost/wire.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
-from gapcove import interface as api
+from puffinpost import interface as api
 
 HEADER = struct.Struct(">IIQ")
 REPLY_HEADER = struct.Struct(">II")
--- a/tests/test_books.py
+++ b/tests/test_books.py
@@ -2,7 +2,7 @@
 
 from world import PLAIN, Driver, S, line, of, only
 
-from gapcove import interface as api
+from puffinpost import interface as api
 
 
 def test_an_inherited_connection_is_booked_and_never_sent() -> None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -4,9 +4,9 @@
 
 from world import MS, PLAIN, Driver, S, line, of, only
 
-from gapcove import interface as api
-from gapcove import rules
-from gapcove.rules import Flow
+from puffinpost import interface as api
+from puffinpost import rules
+from puffinpost.rules import Flow
 
 
 def flow(world: Driver, **more: object) -> Flow:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,8 +4,8 @@
 
 from world import MS, PLAIN, Driver, S, line, of, only
 
-from gapcove import interface as api
-from gapcove import rules
+from puffinpost import interface as api
+from puffinpost import rules
 
 
 def loaded(world: Driver, server: int, count: int) -> None:
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -6,7 +6,7 @@
 import pytest
 from test_wire import ARRIVAL, SETTINGS, frame
 
-from gapcove import simhost, wire
+from puffinpost import simhost, wire
 
 
 def create(inst: int, seed: int, text: bytes, offset: int = 0) -> bytes:
@@ -52,7 +52,7 @@
     def broken(self: object, event: object, now_ns: int) -> list[object]:
         raise RuntimeError("boom")
 
-    monkeypatch.setattr("gapcove.rules.Balancer.handle", broken)
+    monkeypatch.setattr("puffinpost.rules.Balancer.handle", broken)
     reply = host.answer(frame(ARRIVAL))
     assert reply[8] == 100 and b"boom" in reply
 
--- a/tests/test_life_cycle.py
+++ b/tests/test_life_cycle.py
@@ -5,7 +5,7 @@
 import pytest
 from world import MS, PLAIN, START, Driver, S, line, of, only, with_class
 
-from gapcove import interface as api
+from puffinpost import interface as api
 
 
 def answers(actions: list[api.Action]) -> list[api.Action]:
--- a/tests/world.py
+++ b/tests/world.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import TypeVar
 
-from gapcove import interface as api
-from gapcove.rules import Balancer
+from puffinpost import interface as api
+from puffinpost.rules import Balancer
 
 MS = 1_000_000
 S = 1_000_000_000
