--- /dev/null
+++ b/puffinpost/__main__.py
@@ -0,0 +1,166 @@
+"""One real node: reads the configuration, wires the parts together and runs until SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+from puffinpost import config, log
+from puffinpost.core import Core
+from puffinpost.counters import Counters
+from puffinpost.fronts.platform import PlatformFront
+from puffinpost.interface import Result, ServerId
+from puffinpost.inventory import Inventory, InventoryError
+from puffinpost.net.discovery import Watch
+from puffinpost.net.link import Link
+from puffinpost.net.listener import Listener
+from puffinpost.net.probes import Prober
+from puffinpost.net.south import Dialler
+
+# On SIGTERM the front goes on sending clients for up to 0.4 s, and SIGKILL comes no sooner than the longest
+# deadline (3 s at least) and 0.7 s later.
+STILL_COMING_S = 0.5
+MOVES_OVER_S = 1.5
+LEAST_DEADLINE_S = 3.0
+TICK_S = 0.02
+
+
+class LoopClock:
+    """The event loop's timers, on a clock that starts at the Unix time and then only advances."""
+
+    def __init__(self) -> None:
+        self._offset = time.time_ns() - time.monotonic_ns()
+        self._loop = asyncio.get_running_loop()
+
+    def now(self) -> int:
+        return time.monotonic_ns() + self._offset
+
+    def call_later(self, after_ns: int, callback: Callable[[], None]) -> Any:
+        return self._loop.call_later(after_ns / 1e9, self._call, callback)
+
+    def cancel(self, handle: Any) -> None:
+        if handle is not None:
+            handle.cancel()
+
+    @staticmethod
+    def _call(callback: Callable[[], None]) -> None:
+        try:
+            callback()
+        except Exception:
+            log.say_exception("timer")
+
+
+class Node:
+    """The parts of a node, wired."""
+
+    def __init__(self, told: config.Config) -> None:
+        self.config = told
+        self.counters = Counters()
+        self.inventory = Inventory(told.zones, told.kinds)
+        self.core = Core(told.settings, told.seed, self.inventory, LoopClock(), self, self.counters)
+        self.prober = Prober(told.settings.report_fields, self.core.probed)
+        self.watch = Watch(
+            told.discovery, lambda: self.inventory.index, self._told, self.core.inventory_failed
+        )
+        self.front = PlatformFront(self.core, told, Dialler(self.core))
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.stop = asyncio.Event()
+
+    # --- what the core asks for (Ports) -------------------------------------------------------------
+
+    def probe(self, server: ServerId) -> None:
+        address = self.inventory.addresses.get(server)
+        if address is None:
+            asyncio.get_running_loop().call_soon(self.core.probed, server, Result.CONNECT_FAILED, 0, ())
+        else:
+            self.prober.probe(server, address)
+
+    def subscribe(self) -> None:
+        self.watch.start()
+
+    def log(self, text: str) -> None:
+        log.say(text)
+
+    # --- running ------------------------------------------------------------------------------------
+
+    def _told(self, answer: dict[str, Any]) -> None:
+        self.core.inventory_told(answer)
+        self.prober.forget(self.inventory.takes_work)
+
+    def _accepted(self, link: Link) -> None:
+        task = asyncio.get_running_loop().create_task(link.run(self.front.accept(link)))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def run(self) -> None:
+        """Serves until SIGTERM, then leaves in order."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stop.set)
+        loop.add_signal_handler(signal.SIGINT, self.stop.set)
+        loop.add_signal_handler(signal.SIGUSR1, lambda: log.say(self.counters.text()))
+        if self.config.known:
+            try:
+                self.core.inventory_told(self.config.known, cached=True)
+            except InventoryError as problem:
+                raise config.ConfigError(f"known: {problem}") from None
+        else:
+            # Nothing can be served yet, but the decisions have to be woken to ask for a list.
+            self.core.inventory_failed()
+        listener = Listener(self.config.listen, self._accepted, self.front.turn_away)
+        log.say(f"{self.config.name} listens on {self.config.listen[0]}:{self.config.listen[1]}")
+        await self.stop.wait()
+        await self._leave(listener)
+        log.say(f"{self.config.name} ends; counts: {self.counters.text()}")
+
+    async def _leave(self, listener: Listener) -> None:
+        """Answers what still comes, moves what stands, and ends before it would be killed."""
+        longest = max(item.deadline_ns for item in self.config.settings.classes) / 1e9
+        began = time.monotonic()
+        end = began + max(longest, LEAST_DEADLINE_S)
+        self.front.leaving = True
+        await asyncio.sleep(STILL_COMING_S)
+        listener.close()
+        first = self.core.standing()
+        random.shuffle(first)
+        moved = 0
+        while time.monotonic() < end:
+            spent = time.monotonic() - began - STILL_COMING_S
+            due = len(first) if spent >= MOVES_OVER_S else int(len(first) * spent / MOVES_OVER_S)
+            for exchange in first[moved:due]:
+                self.core.move(exchange)
+            moved = max(moved, due)
+            if spent >= MOVES_OVER_S:
+                for exchange in self.core.standing():
+                    self.core.move(exchange)
+                if not self.core.exchanges:
+                    break
+            await asyncio.sleep(TICK_S)
+        for exchange in self.core.standing():
+            self.core.move(exchange)
+        await asyncio.sleep(TICK_S)
+
+
+async def _main() -> None:
+    await Node(config.load()).run()
+
+
+def main() -> int:
+    """The exit code of a node's life."""
+    try:
+        asyncio.run(_main())
+    except config.ConfigError as problem:
+        print(f"puffinpost: {problem}", file=sys.stderr)
+        return 2
+    except OSError as problem:
+        print(f"puffinpost: listen: {problem}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/puffinpost/core.py
@@ -0,0 +1,450 @@
+"""The core: messages, relays and outcomes round one ``Balancer``. It knows no wire and no socket.
+
+A front hands in a message with something that acts for it on the north side (``North``), and reports what
+becomes of each relay. The core numbers messages and relays, keeps their time-outs, carries out what the
+decisions say, and sees to it that a message has one final answer and at most one relay out: an exchange
+has room for a single one, and the next begins only once the last is closed.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from puffinpost import interface as api
+from puffinpost.counters import Counters
+from puffinpost.inventory import Inventory
+from puffinpost.rules import Balancer
+
+MS = 1_000_000
+# A client's time counts from when it wrote its line, and the answer has its own way to go.
+NORTH_MARGIN_NS = 10 * MS
+# What a transcriber is told to keep is this much less than what the node will wait.
+SOUTH_MARGIN_NS = 10 * MS
+# Guards the one final answer against decisions that stay silent: the core then answers by itself.
+GUARD_NS = 8 * MS
+# Clients send a line every 2 s, and a running transcriber must not be silent for 7 s: one that owes a line
+# for this long is given up, which leaves room for a slow one and for the next line to be lost too.
+SILENT_NS = 4500 * MS
+SWEEP_NS = 250 * MS
+DELAY_NOTE_NS = 1000 * MS
+MOST_ECHOES = 64
+
+
+class Clock(Protocol):
+    """Time and timers, as the core is given them."""
+
+    def now(self) -> int:
+        """Nanoseconds that never go back."""
+
+    def call_later(self, after_ns: int, callback: Callable[[], None]) -> Any:
+        """Calls back once; what is returned can be cancelled."""
+
+    def cancel(self, handle: Any) -> None:
+        """Takes a call back."""
+
+
+class Ports(Protocol):
+    """What the core asks of the rest of the node, beside the north side."""
+
+    def probe(self, server: api.ServerId) -> None:
+        """Ask for a load report; ``Core.probed`` takes the answer."""
+
+    def subscribe(self) -> None:
+        """Watch discovery; ``Core.inventory_told`` and ``Core.inventory_failed`` take what comes."""
+
+    def log(self, text: str) -> None:
+        """A line for the people who run this."""
+
+
+class North(Protocol):
+    """What acts for one message: its client's side, and the wire of its relays."""
+
+    def start_relay(self, relay: Relay) -> None:
+        """Begin a relay. It ends with ``Core.ended``, never before this returns."""
+
+    def drop_relay(self, relay: Relay) -> None:
+        """Close a relay's socket, now. The core has noted its end already."""
+
+    def refuse(self, pause_ns: int) -> None:
+        """The final answer is the back-off answer."""
+
+    def fail(self) -> None:
+        """The final answer is that it failed."""
+
+    def move(self) -> None:
+        """Send the client away politely."""
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """What a client asks for, in no wire's terms."""
+
+    klass: int
+    wait_ns: int
+    key: int = 0
+    group: int = 0
+    load: int | None = None
+    retry: bool = False
+    returning: bool = False
+
+
+class Relay:
+    """One attempt at one transcriber."""
+
+    __slots__ = (
+        "address", "deadline_ns", "exchange", "number", "over", "server", "started_ns", "timer", "written",
+    )
+
+    def __init__(self, exchange: Exchange, number: int, server: api.ServerId, address: tuple[str, int],
+                 now: int, deadline_ns: int) -> None:
+        self.exchange = exchange
+        self.number = number
+        self.server = server
+        self.address = address
+        self.started_ns = now
+        self.deadline_ns = deadline_ns
+        self.written = False
+        self.over = False
+        self.timer: Any = None
+
+
+class Exchange:
+    """One message, from its arrival until its answer is given and its last relay is closed."""
+
+    __slots__ = (
+        "answered", "came_ns", "deadline_ns", "guard", "inherited", "message", "north", "number", "relay",
+        "relays", "server", "sent", "standing", "up_ns",
+    )
+
+    def __init__(self, number: int, message: Message, north: North, now: int) -> None:
+        self.number = number
+        self.message = message
+        self.north = north
+        self.came_ns = now
+        self.deadline_ns = now + max(0, message.wait_ns - NORTH_MARGIN_NS)
+        self.relay: Relay | None = None
+        self.relays = 0
+        self.server: api.ServerId = 0  # of the last relay
+        self.standing = False
+        self.answered = False  # the final answer is given, or none is owed any more
+        self.inherited = False
+        self.up_ns = 0
+        self.guard: Any = None
+        self.sent: deque[int] = deque(maxlen=MOST_ECHOES)  # when the lines went that are not echoed yet
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """What became of a message, for those who keep the books."""
+
+    exchange: Exchange
+    answer: str  # served, refused, failed or gone
+    result: api.Result | None
+    now: int
+
+
+class Core:
+    """Drives one ``Balancer``."""
+
+    def __init__(self, settings: api.Settings, seed: int, inventory: Inventory, clock: Clock, ports: Ports,
+                 counters: Counters) -> None:
+        self.settings = settings
+        self.inventory = inventory
+        self.clock = clock
+        self.ports = ports
+        self.counters = counters
+        self.balancer = Balancer(settings, seed)
+        self.exchanges: dict[int, Exchange] = {}
+        self.on_end: list[Callable[[Ended], None]] = []
+        self.able = False
+        self._numbers = 0
+        self._events: deque[Callable[[], api.Event]] = deque()
+        self._busy = False
+        aims = [item.message_aim_ns for item in settings.classes if item.message_aim_ns > 0]
+        self._slow_ns = min(aims) // 3 if aims else 0
+        self._noted: dict[api.ServerId, int] = {}  # slow transcribers, and when that was last noted
+        clock.call_later(SWEEP_NS, self._sweep)
+
+    # --- the inventory ------------------------------------------------------------------------------
+
+    def inventory_told(self, told: dict[str, Any], cached: bool = False) -> None:
+        """Discovery answered. ``InventoryError``: it is not a list."""
+        event = self.inventory.take(told, cached)
+        self.able = True
+        self._give(lambda: event)
+
+    def inventory_failed(self) -> None:
+        """A call failed, or the watch broke."""
+        self.counters.add("inventory_failed")
+        self._give(lambda: api.ServerList(api.ListKind.FAILED))
+
+    def probed(self, server: api.ServerId, result: api.Result, took_ns: int,
+               report: tuple[float, ...]) -> None:
+        """A probe came back, or did not."""
+        self.counters.add(f"probe_{result.name.lower()}")
+        self._give(lambda: api.ProbeResult(server, result, took_ns, report))
+
+    # --- the north side -----------------------------------------------------------------------------
+
+    def open(self, message: Message, north: North) -> Exchange:
+        """A client asks. Its answer may be given before this returns."""
+        exchange = self._new(message, north)
+        exchange.guard = self.clock.call_later(
+            exchange.deadline_ns + GUARD_NS - exchange.came_ns, lambda: self._overdue(exchange)
+        )
+        self._give(lambda: self._request(exchange))
+        return exchange
+
+    def inherit(self, message: Message, server: api.ServerId, north: North) -> Exchange:
+        """A connection that ran at a transcriber before this node's start; it goes there and nowhere else."""
+        exchange = self._new(message, north)
+        exchange.inherited = True
+        self._start(exchange, server, message.wait_ns)
+        return exchange
+
+    def _new(self, message: Message, north: North) -> Exchange:
+        self._numbers += 1
+        exchange = self.exchanges[self._numbers] = Exchange(self._numbers, message, north, self.clock.now())
+        self.counters.add("messages")
+        return exchange
+
+    def gone(self, exchange: Exchange) -> None:
+        """The client left. Before its connection stood, the decisions are told; its relay is closed."""
+        if exchange.answered:
+            return
+        if exchange.standing:
+            self._close(exchange.relay, api.Result.CANCELLED)
+            return
+        self._finish(exchange, "gone", None)
+        if not exchange.inherited:
+            self._give(lambda: api.ClientGone(exchange.number))
+        self._close(exchange.relay, api.Result.CANCELLED)
+
+    def line_north(self, exchange: Exchange) -> None:
+        """A line of the client's went on to its transcriber."""
+        exchange.sent.append(self.clock.now())
+
+    # --- relays -------------------------------------------------------------------------------------
+
+    def may_write(self, relay: Relay) -> bool:
+        """Whether a relay's first byte may go out.
+
+        Guards against a transcriber that discovery took off the list while its connection came up: what was
+        decided before is not sent after.
+        """
+        return not relay.over and (relay.exchange.inherited or self.inventory.takes_work(relay.server))
+
+    def left_ms(self, relay: Relay) -> int:
+        """What a transcriber is told that the node will wait."""
+        return max(1, (relay.deadline_ns - SOUTH_MARGIN_NS - self.clock.now()) // MS)
+
+    def written(self, relay: Relay) -> None:
+        """The relay's first line is out, to its last byte: from here on it may have run."""
+        relay.written = True
+        self.counters.add("relays_written")
+
+    def up(self, relay: Relay) -> bool:
+        """The transcriber took the connection. False: too late, the relay is over."""
+        exchange = relay.exchange
+        if relay.over or exchange.answered:
+            return False
+        self._stop_timer(relay)
+        exchange.standing, exchange.up_ns = True, self.clock.now()
+        self.counters.add("up")
+        if exchange.inherited:
+            request = self._request(exchange)
+            self._give(lambda: api.Inherited(request, relay.server))
+        else:
+            took = exchange.up_ns - relay.started_ns
+            self._give(lambda: api.Established(exchange.number, relay.number, relay.server, took))
+        return True
+
+    def ended(self, relay: Relay, result: api.Result, report: tuple[float, ...] = ()) -> None:
+        """A relay is over and its socket is closed."""
+        if relay.over:
+            return
+        exchange = relay.exchange
+        self._stop_timer(relay)
+        relay.over = True
+        exchange.relay = None
+        self.counters.add(f"relay_{result.name.lower()}")
+        if exchange.standing:
+            self._finish(exchange, "served", result)
+        elif exchange.inherited and not exchange.answered:
+            self._finish(exchange, "failed", result)
+            exchange.north.fail()
+        if not exchange.inherited or exchange.standing:
+            took = self.clock.now() - relay.started_ns
+            self._give(lambda: api.Outcome(
+                exchange.number, relay.number, relay.server, result, exchange.answered, took, report
+            ))
+        if exchange.answered:
+            self.exchanges.pop(exchange.number, None)
+
+    def load(self, relay: Relay, us_per_s: float) -> None:
+        """The transcriber tells the connection's load."""
+        if not relay.over and relay.exchange.standing:
+            self._give(lambda: api.LoadNote(relay.exchange.number, int(us_per_s * 1000)))
+
+    def line_south(self, relay: Relay) -> None:
+        """A line came back: the echo of the oldest line that is out. Notes a slow transcriber."""
+        exchange = relay.exchange
+        if relay.over or not exchange.sent:
+            return
+        now = self.clock.now()
+        delay = now - exchange.sent.popleft()
+        noted = self._noted.get(relay.server)
+        if self._slow_ns and delay > self._slow_ns:
+            if noted is not None and now - noted < DELAY_NOTE_NS:
+                return
+            self._noted[relay.server] = now
+        elif self._noted.pop(relay.server, None) is None:
+            return
+        self._give(lambda: api.DelayNote(exchange.number, relay.server, delay))
+
+    # --- leaving ------------------------------------------------------------------------------------
+
+    def standing(self) -> list[Exchange]:
+        """The connections that stand."""
+        return [exchange for exchange in self.exchanges.values() if exchange.standing]
+
+    def move(self, exchange: Exchange, result: api.Result = api.Result.CANCELLED) -> None:
+        """Sends a standing client away, politely."""
+        if exchange.standing and not exchange.answered:
+            self.counters.add("moves")
+            relay = exchange.relay
+            exchange.north.move()
+            self._close(relay, result)
+
+    # --- within -------------------------------------------------------------------------------------
+
+    def _give(self, event: Callable[[], api.Event]) -> None:
+        """Hands the decisions an event and does what they answer; what that causes comes after, in turn."""
+        self._events.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                made = self._events.popleft()()
+                for action in self.balancer.handle(made, self.clock.now()):
+                    self._act(action)
+        finally:
+            self._busy = False
+
+    def _act(self, action: api.Action) -> None:
+        match action:
+            case api.Timer(after, token):
+                self.clock.call_later(after, lambda: self._give(lambda: api.TimerDue(token)))
+            case api.Send(request, server, timeout):
+                self._send(request, server, timeout)
+            case api.Refuse(request, pause):
+                self._answer(request, "refused", pause)
+            case api.Fail(request):
+                self._answer(request, "failed", 0)
+            case api.Cancel(request, attempt):
+                exchange = self.exchanges.get(request)
+                if exchange is not None and not exchange.standing:
+                    relay = exchange.relay
+                    if relay is not None and relay.number == attempt:
+                        self._close(relay, api.Result.CANCELLED)
+            case api.Move(request):
+                exchange = self.exchanges.get(request)
+                if exchange is not None:
+                    self.move(exchange)
+            case api.Probe(server):
+                self.counters.add("probes")
+                self.ports.probe(server)
+            case api.Subscribe():
+                self.ports.subscribe()
+            case api.Log(text):
+                self.ports.log(text)
+
+    def _send(self, request: int, server: api.ServerId, timeout_ns: int) -> None:
+        exchange = self.exchanges.get(request)
+        number = 0
+        if exchange is not None:
+            number, exchange.relays = exchange.relays, exchange.relays + 1
+            if (
+                not exchange.answered and not exchange.standing and exchange.relay is None
+                and number < self.settings.max_attempts and exchange.deadline_ns > self.clock.now()
+                and server in self.inventory.addresses
+            ):
+                self._start(exchange, server, timeout_ns, number)
+                return
+        # Not sent: the message is over, has a relay out, or has had all that it may have.
+        self.counters.add("relay_moot")
+        finished = exchange is None or exchange.answered or exchange.standing
+        self._give(lambda: api.Outcome(request, number, server, api.Result.MOOT, finished, 0))
+
+    def _start(self, exchange: Exchange, server: api.ServerId, timeout_ns: int, number: int = 0) -> None:
+        now = self.clock.now()
+        limit = exchange.deadline_ns if timeout_ns <= 0 else min(exchange.deadline_ns, now + timeout_ns)
+        relay = Relay(exchange, number, server, self.inventory.addresses[server], now, limit)
+        exchange.relay, exchange.server = relay, server
+        relay.timer = self.clock.call_later(max(0, limit - now), lambda: self._time_out(relay))
+        self.counters.add("relays")
+        exchange.north.start_relay(relay)
+
+    def _time_out(self, relay: Relay) -> None:
+        # A first line that never got out cannot have run.
+        self._close(relay, api.Result.TIMEOUT if relay.written else api.Result.CONNECT_FAILED)
+
+    def _close(self, relay: Relay | None, result: api.Result) -> None:
+        if relay is not None and not relay.over:
+            relay.exchange.north.drop_relay(relay)
+            self.ended(relay, result)
+
+    def _answer(self, request: int, answer: str, pause_ns: int) -> None:
+        exchange = self.exchanges.get(request)
+        if exchange is None or exchange.answered or exchange.standing:
+            return
+        self._finish(exchange, answer, None)
+        self._close(exchange.relay, api.Result.CANCELLED)
+        if answer == "refused":
+            exchange.north.refuse(pause_ns)
+        else:
+            exchange.north.fail()
+        self.exchanges.pop(request, None)
+
+    def _overdue(self, exchange: Exchange) -> None:
+        if exchange.answered or exchange.standing:
+            return
+        self.counters.add("overdue")
+        self._answer(exchange.number, "failed", 0)
+        self._give(lambda: api.ClientGone(exchange.number))
+
+    def _finish(self, exchange: Exchange, answer: str, result: api.Result | None) -> None:
+        if exchange.answered:
+            return
+        exchange.answered = True
+        self.clock.cancel(exchange.guard)
+        self.counters.add(answer)
+        if exchange.relay is None:
+            self.exchanges.pop(exchange.number, None)
+        ended = Ended(exchange, answer, result, self.clock.now())
+        for call in self.on_end:
+            call(ended)
+
+    def _stop_timer(self, relay: Relay) -> None:
+        self.clock.cancel(relay.timer)
+        self.clock.cancel(relay.exchange.guard if relay.exchange.answered else None)
+
+    def _request(self, exchange: Exchange) -> api.Request:
+        message = exchange.message
+        return api.Request(
+            exchange.number, message.klass, exchange.deadline_ns, 0, message.key, message.group, message.load,
+            message.retry, False, message.returning,
+        )
+
+    def _sweep(self) -> None:
+        """Gives up transcribers that owe a line for too long, and lets their clients move."""
+        self.clock.call_later(SWEEP_NS, self._sweep)
+        now = self.clock.now()
+        for exchange in self.standing():
+            if exchange.sent and now - exchange.sent[0] > SILENT_NS:
+                self.counters.add("silent")
+                self.move(exchange, api.Result.TIMEOUT)
--- /dev/null
+++ b/puffinpost/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""The north side: one front for each protocol that clients speak."""
--- /dev/null
+++ b/puffinpost/fronts/platform.py
@@ -0,0 +1,263 @@
+"""The platform's protocol: lines from clients, the same lines to transcribers."""
+
+from __future__ import annotations
+
+import socket
+
+from puffinpost import interface as api
+from puffinpost import log
+from puffinpost.config import Config
+from puffinpost.core import Core, Exchange, Message, Relay
+from puffinpost.net.link import Link
+from puffinpost.net.south import Dialler
+from puffinpost.protocol import lines
+
+MOST_HELD = 64 * 1024  # of a client's lines before its connection stands; then it is not read any more
+PAUSE_MS = 500  # told to clients that come when no descriptor is left for them
+FULL = lines.refusal(PAUSE_MS)
+
+
+class PlatformFront:
+    """Takes clients in."""
+
+    def __init__(self, core: Core, config: Config, dialler: Dialler) -> None:
+        self.core = core
+        self.classes = {name: number for number, name in enumerate(config.classes)}
+        self.dialler = dialler
+        self.groups = core.settings.groups
+        self.leaving = False
+        self.sessions: set[Session] = set()
+        # A session needs two descriptors; a few stay free for probes, discovery and the like.
+        self.most_sessions = max(1, (config.sockets - 64) // 2)
+
+    def accept(self, link: Link) -> Session:
+        """A client has connected; the caller runs the link with the session."""
+        session = Session(self, link)
+        self.sessions.add(session)
+        return session
+
+    @staticmethod
+    def turn_away(connection: socket.socket) -> None:
+        """Answers a connection for which there was no descriptor but the spare one."""
+        connection.send(FULL)
+
+    def message(self, opening: lines.Opening) -> Message:
+        """A first line in the core's terms. ``LineError`` where its class is unknown."""
+        klass = self.classes.get(opening.klass)
+        if klass is None:
+            raise lines.LineError(f"class {opening.klass!r} is unknown")
+        group = opening.group if self.groups else 0
+        return Message(
+            klass, opening.wait_ms * 1_000_000, opening.key, group, opening.load, opening.retry,
+            opening.returning,
+        )
+
+
+class Session:
+    """One client's connection."""
+
+    def __init__(self, front: PlatformFront, link: Link) -> None:
+        self.front = front
+        self.core = front.core
+        self.link = link
+        self.splitter = lines.LineSplitter()
+        self.opening: lines.Opening | None = None
+        self.exchange: Exchange | None = None
+        self.held: list[bytes] = []
+        self.south: TranscriberSide | None = None
+        self.over = False
+
+    # --- what the client does (Receiver) ------------------------------------------------------------
+
+    def received(self, data: bytes) -> None:
+        try:
+            for line in self.splitter.feed(data):
+                if self.over:
+                    return
+                self._line(line)
+        except lines.LineError as problem:
+            self._bad(str(problem))
+
+    def _line(self, line: bytes) -> None:
+        if self.opening is None:
+            if line.rstrip(b"\r\n") == lines.PING:
+                if self.core.able and not self.front.leaving:
+                    self.link.write(lines.PONG)
+                return
+            self._open(line)
+        elif self.exchange is not None and self.exchange.standing and self.south is not None:
+            self.south.pass_on(line)
+        else:
+            self.held.append(line)
+            if sum(map(len, self.held)) > MOST_HELD:
+                self.link.hold(True)
+
+    def _open(self, line: bytes) -> None:
+        self.opening = opening = lines.parse_opening(line)
+        message = self.front.message(opening)
+        if len(self.front.sessions) > self.front.most_sessions:
+            self._say(FULL)
+            return
+        if opening.at is None:
+            self.exchange = self.core.open(message, self)
+            return
+        server = self.core.inventory.find(opening.at)
+        if server is None or server not in self.core.inventory.addresses:
+            raise lines.LineError(f"at={opening.at}: discovery has named no such transcriber")
+        self.exchange = self.core.inherit(message, server, self)
+
+    def _bad(self, problem: str) -> None:
+        """Ends a connection whose client wrote what cannot be taken. Nothing of it reaches a transcriber."""
+        self.core.counters.add("bad_lines")
+        log.say(f"bad line from a client: {problem}")
+        exchange = self.exchange
+        if exchange is not None and not self.over:
+            self.core.gone(exchange)
+        self._say(lines.FAILED)
+
+    def lost(self, reset: bool) -> None:
+        self._leave()
+        south = self.south
+        if south is not None and south.link is not None:
+            south.link.close(reset)
+        if self.exchange is not None:
+            self.core.gone(self.exchange)
+
+    def broke(self) -> None:
+        if self.exchange is not None:
+            self.core.gone(self.exchange)
+        self._say(lines.FAILED)
+
+    # --- what the core asks for (North) -------------------------------------------------------------
+
+    def start_relay(self, relay: Relay) -> None:
+        assert self.opening is not None
+        self.south = TranscriberSide(self, relay, self.opening)
+        self.front.dialler.start(self.south)
+
+    def drop_relay(self, relay: Relay) -> None:
+        if self.south is not None and self.south.relay is relay and self.south.link is not None:
+            self.south.link.close()
+
+    def refuse(self, pause_ns: int) -> None:
+        self._say(lines.refusal(pause_ns // 1_000_000))
+
+    def fail(self) -> None:
+        self._say(lines.FAILED)
+
+    def move(self) -> None:
+        # Only whole lines are ever written north, so this falls between two.
+        self._say(lines.MOVE)
+
+    # --- within -------------------------------------------------------------------------------------
+
+    def stands(self, up: bytes) -> None:
+        """The transcriber took the connection: its word goes north, what was held goes south."""
+        assert self.south is not None and self.south.link is not None
+        self.link.write(up)
+        self.link.sink, self.south.link.sink = self.south.link, self.link
+        held, self.held = self.held, []
+        for line in held:
+            self.south.pass_on(line)
+        self.link.hold(False)
+
+    def _say(self, line: bytes) -> None:
+        """The last line north."""
+        if not self.over:
+            self.link.write(line)
+        self.end(False)
+
+    def end(self, reset: bool) -> None:
+        """Closes the client's connection."""
+        self._leave()
+        self.link.close(reset)
+
+    def _leave(self) -> None:
+        self.over = True
+        self.front.sessions.discard(self)
+
+
+class TranscriberSide:
+    """One relay's connection to its transcriber."""
+
+    def __init__(self, session: Session, relay: Relay, opening: lines.Opening) -> None:
+        self.session = session
+        self.core = session.core
+        self.relay = relay
+        self.opening = opening
+        self.link: Link | None = None
+        self.splitter = lines.LineSplitter()
+        self.last = lines.Word.OTHER
+
+    def connected(self) -> None:
+        self._write(self.opening.onward(self.core.left_ms(self.relay)))
+
+    def pass_on(self, line: bytes) -> None:
+        """A line of the client's, as it came."""
+        self._write(line)
+        self.core.line_north(self.relay.exchange)
+
+    def _write(self, data: bytes) -> None:
+        if self.link is not None:
+            self.link.write(data)
+
+    # --- what the transcriber does (Receiver) -------------------------------------------------------
+
+    def received(self, data: bytes) -> None:
+        try:
+            for line in self.splitter.feed(data):
+                if self.relay.over:
+                    return
+                if self.relay.exchange.standing:
+                    self._standing(line)
+                else:
+                    self._answer(line)
+        except lines.LineError as problem:
+            log.say(f"bad line from {self.core.inventory.name(self.relay.server)}: {problem}")
+            self.broke()
+
+    def _answer(self, line: bytes) -> None:
+        word = lines.word_of(line)
+        if word is lines.Word.UP:
+            if self.core.up(self.relay):
+                self.session.stands(line)
+            return
+        result = {lines.Word.BUSY: api.Result.REJECTED, lines.Word.MOVE: api.Result.CANCELLED}.get(
+            word, api.Result.ERROR
+        )
+        self._over(result, lines.report_of(line, self.core.settings.report_fields))
+
+    def _standing(self, line: bytes) -> None:
+        word = lines.word_of(line)
+        if word is lines.Word.LOAD:
+            load = lines.load_of(line)
+            if load is not None:
+                self.core.load(self.relay, load)
+        elif word in (lines.Word.BYE, lines.Word.MOVE):
+            self.last = word
+        else:
+            self.core.line_south(self.relay)
+        if not self.relay.over:
+            self.session.link.write(line)
+
+    def lost(self, reset: bool) -> None:
+        if self.relay.exchange.standing:
+            result = {lines.Word.BYE: api.Result.SERVED, lines.Word.MOVE: api.Result.CANCELLED}.get(
+                self.last, api.Result.RESET
+            )
+            # The client's side ends as this one did.
+            self.session.end(reset)
+            self._over(result)
+        else:
+            self._over(api.Result.RESET)
+
+    def broke(self) -> None:
+        standing = self.relay.exchange.standing
+        self._over(api.Result.RESET if standing else api.Result.ERROR)
+        if standing:
+            self.session.end(True)
+
+    def _over(self, result: api.Result, report: tuple[float, ...] = ()) -> None:
+        if self.link is not None:
+            self.link.close()
+        self.core.ended(self.relay, result, report)
--- /dev/null
+++ b/puffinpost/inventory.py
@@ -0,0 +1,129 @@
+"""The inventory: discovery's list, in the terms of the decisions.
+
+A transcriber's name becomes a 48-bit id that is the same at every node and after every restart, for the
+decisions hash it. Its address stays here.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+
+from puffinpost import interface as api
+
+_STATUS = {"up": api.Status.READY, "draining": api.Status.DRAINING, "removed": api.Status.GONE}
+
+
+class InventoryError(ValueError):
+    """What came is not a list of transcribers; the text says why."""
+
+
+def parse(body: bytes) -> dict[str, Any]:
+    """The JSON of discovery's answer."""
+    try:
+        value = orjson.loads(body)
+    except orjson.JSONDecodeError as problem:
+        raise InventoryError(f"not JSON: {problem}") from None
+    if not isinstance(value, dict):
+        raise InventoryError("not a JSON object")
+    return value
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """``HOST:PORT`` as a pair. ``ValueError`` where it is none."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is not HOST:PORT")
+    return host.strip("[]"), int(port)
+
+
+@dataclass(slots=True)
+class Inventory:
+    """What discovery has said so far."""
+
+    zones: Sequence[str]
+    kinds: Sequence[str]
+    index: int = 0
+    addresses: dict[api.ServerId, tuple[str, int]] = field(default_factory=dict)
+    statuses: dict[api.ServerId, api.Status] = field(default_factory=dict)
+    _ids: dict[str, api.ServerId] = field(default_factory=dict)
+    _names: dict[api.ServerId, str] = field(default_factory=dict)
+
+    def take(self, told: dict[str, Any], cached: bool = False) -> api.ServerList:
+        """Takes in an answer of discovery's; the same as an event. ``InventoryError``: nothing is changed."""
+        index, full, entries = told.get("index"), told.get("snapshot"), told.get("endpoints")
+        if not isinstance(index, int) or not isinstance(full, bool) or not isinstance(entries, list):
+            raise InventoryError("index, snapshot or endpoints is missing or of the wrong type")
+        lines, addresses = [], {}
+        # Names are given ids in their sorted order, so that two whose hashes agree are told apart alike at
+        # every node.
+        for entry in sorted(entries, key=_name_of):
+            line = self._line(entry)
+            lines.append(line)
+            if line.status is not api.Status.GONE:
+                try:
+                    addresses[line.server] = parse_address(entry.get("address"))
+                except (ValueError, AttributeError):
+                    raise InventoryError(f"{entry['name']}: address {entry.get('address')!r}") from None
+        if full:
+            self.statuses = {}
+        for line in lines:
+            self.statuses[line.server] = line.status
+        # An address outlives its entry: connections that stand there still name it.
+        self.addresses.update(addresses)
+        self.index = index
+        kind = api.ListKind.CACHED if cached else api.ListKind.FULL if full else api.ListKind.DELTA
+        return api.ServerList(kind, tuple(lines))
+
+    def takes_work(self, server: api.ServerId) -> bool:
+        """Whether the last word on a transcriber is that it may have new work."""
+        return self.statuses.get(server) is api.Status.READY
+
+    def find(self, name: str) -> api.ServerId | None:
+        """The id of a transcriber that discovery has named."""
+        return self._ids.get(name)
+
+    def name(self, server: api.ServerId) -> str:
+        """The name behind an id."""
+        return self._names.get(server, "?")
+
+    def _line(self, entry: dict[str, Any]) -> api.ServerLine:
+        name = entry["name"]
+        status = _STATUS.get(entry.get("status", ""))
+        if status is None:
+            raise InventoryError(f"{name}: status {entry.get('status')!r} is unknown")
+        weight, since, cell = entry.get("weight", 1.0), entry.get("since_ms", 0), entry.get("group", 0)
+        for what, value in (("weight", weight), ("since_ms", since), ("group", cell)):
+            if not isinstance(value, int | float) or not 0 <= value < 1e15:
+                raise InventoryError(f"{name}: {what} {value!r} is not a figure that can be right")
+        return api.ServerLine(
+            self._id(name), _place(self.zones, entry.get("zone")), _place(self.kinds, entry.get("type")),
+            int(cell), status, float(weight), int(since * 1_000_000),
+        )
+
+    def _id(self, name: str) -> api.ServerId:
+        known = self._ids.get(name)
+        salt = 0
+        while known is None:
+            digest = hashlib.blake2b(f"{salt}:{name}".encode(), digest_size=6).digest()
+            server = int.from_bytes(digest, "big")
+            if server and server not in self._names:
+                known = self._ids[name] = server
+                self._names[server] = name
+            salt += 1
+        return known
+
+
+def _name_of(entry: Any) -> str:
+    if not isinstance(entry, dict) or not isinstance(entry.get("name"), str):
+        raise InventoryError("an entry has no name")
+    return str(entry["name"])
+
+
+def _place(names: Sequence[str], name: Any) -> int:
+    """A name's place in the settings' list; one past its end for a name that is not there."""
+    return names.index(name) if name in names else len(names)
--- /dev/null
+++ b/puffinpost/net/__init__.py
@@ -0,0 +1,1 @@
+"""Drivers on Tornado's IOStream: they read, write and close, and decide nothing."""
--- /dev/null
+++ b/puffinpost/net/discovery.py
@@ -0,0 +1,76 @@
+"""Watches discovery: one long poll after another on one connection."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from puffinpost import inventory, log
+from puffinpost.net.link import dial
+from puffinpost.protocol import http
+
+WAIT_MS = 20_000
+CONNECT_S = 2.0
+# Guards against a discovery that has vanished without a word: a call that outlasts its wait by this fails.
+OVERTIME_S = 4.0
+
+
+class Watch:
+    """Calls discovery from when it is told to start until a call fails; then it waits to be told again."""
+
+    def __init__(self, address: tuple[str, int], index: Callable[[], int],
+                 told: Callable[[dict[str, Any]], None], failed: Callable[[], None]) -> None:
+        self.address = address
+        self.index = index
+        self.told = told
+        self.failed = failed
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Starts to watch, unless a watch goes on already."""
+        if self._task is None or self._task.done():
+            self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def _run(self) -> None:
+        link = await dial(self.address, CONNECT_S)
+        try:
+            if link is None:
+                log.say("discovery: no connection")
+                return
+            while True:
+                path = f"/api/targets?after={self.index()}&wait_ms={WAIT_MS}"
+                call = self._call(link.stream, http.get(path, f"{self.address[0]}:{self.address[1]}"))
+                reply = await asyncio.wait_for(call, WAIT_MS / 1000 + OVERTIME_S)
+                if reply.status != 200:
+                    log.say(f"discovery: status {reply.status}")
+                    return
+                self.told(inventory.parse(reply.body))
+                if not reply.keep:
+                    link.close()
+                    link = await dial(self.address, CONNECT_S)
+                    if link is None:
+                        return
+        except (TimeoutError, StreamClosedError, OSError, ValueError) as problem:
+            log.say(f"discovery: {type(problem).__name__} {problem}")
+        except Exception:
+            log.say_exception("discovery")
+        finally:
+            if link is not None:
+                link.close()
+            self._task = None
+            self.failed()
+
+    async def _call(self, stream: IOStream, request: bytes) -> http.Reply:
+        await stream.write(request)
+        parser = http.ReplyParser()
+        while True:
+            try:
+                data = await stream.read_bytes(64 * 1024, partial=True)
+            except StreamClosedError:
+                return parser.end()
+            reply = parser.feed(data)
+            if reply is not None:
+                return reply
--- /dev/null
+++ b/puffinpost/net/link.py
@@ -0,0 +1,138 @@
+"""One connection: what comes is handed to a receiver, and what the receiver writes goes out in order."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from typing import Protocol
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.locks import Event
+
+from puffinpost import log
+
+CHUNK = 16 * 1024
+BEHIND = 64 * 1024  # a side that has this much unsent is waited for before more is read for it
+MOST_UNSENT = 1024 * 1024
+LINGER_S = 1.0
+
+
+class Receiver(Protocol):
+    """What stands behind a link. It knows no socket."""
+
+    def received(self, data: bytes) -> None:
+        """Bytes came."""
+
+    def lost(self, reset: bool) -> None:
+        """The other end has closed, or reset, the connection. Not called after a close from this end."""
+
+    def broke(self) -> None:
+        """An exception got out of ``received``: this connection is to be ended, with its answer."""
+
+
+class Link:
+    """A connected stream."""
+
+    def __init__(self, stream: IOStream) -> None:
+        self.stream = stream
+        self.sink: Link | None = None  # where what comes goes on to
+        self._open = Event()
+        self._open.set()
+        self._closing = False
+        stream.set_nodelay(True)
+
+    @property
+    def closed(self) -> bool:
+        """Whether this end has closed, or the stream is at its end."""
+        return self._closing or self.stream.closed()
+
+    async def run(self, receiver: Receiver) -> None:
+        """Reads until the connection is over."""
+        try:
+            while not self._closing:
+                if not self._open.is_set():
+                    await self._open.wait()
+                data = await self.stream.read_bytes(CHUNK, partial=True)
+                if self._closing:
+                    return
+                receiver.received(data)
+                # Guards against a side that does not read: what is kept for it stays bounded.
+                while self.sink is not None and self.sink.unsent > BEHIND and not self.sink.closed:
+                    await self.sink.flushed()
+        except StreamClosedError:
+            if not self._closing:
+                self._closing = True
+                receiver.lost(self.stream.error is not None)
+        except Exception:
+            log.say_exception("connection ended")
+            receiver.broke()
+
+    def hold(self, held: bool) -> None:
+        """Stops reading, or goes on."""
+        if held:
+            self._open.clear()
+        else:
+            self._open.set()
+
+    @property
+    def unsent(self) -> int:
+        """Bytes that the kernel has not taken yet."""
+        return len(self.stream._write_buffer)
+
+    def write(self, data: bytes) -> None:
+        """Writes, at once where the kernel takes it; nothing happens on a closed link."""
+        if self.closed:
+            return
+        with contextlib.suppress(StreamClosedError):  # the reading side sees the end too, and tells
+            self.stream.write(data)
+
+    async def flushed(self) -> None:
+        """Waits until what was written is out."""
+        await self.stream.write(b"")
+
+    def close(self, reset: bool = False) -> None:
+        """Ends the connection after what was written, or resets it."""
+        if self._closing:
+            return
+        self._closing = True
+        self._open.set()
+        if reset and not self.stream.closed():
+            self.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        elif self.stream.writing():
+            # The kernel has not taken all: the close waits for it, but not for long.
+            asyncio.get_running_loop().call_later(LINGER_S, self.stream.close)
+            self.stream.write(b"").add_done_callback(self._unsent_gone)
+            return
+        self.stream.close()
+
+    def _unsent_gone(self, written: asyncio.Future[None]) -> None:
+        written.exception()
+        self.stream.close()
+
+
+def unconnected(address: tuple[str, int]) -> Link | None:
+    """A link to be connected; None where there is no descriptor left for it."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    try:
+        return Link(IOStream(socket.socket(family, socket.SOCK_STREAM), max_buffer_size=MOST_UNSENT))
+    except OSError as problem:
+        log.say(f"no socket: {problem}")
+        return None
+
+
+async def connect(link: Link, address: tuple[str, int], timeout_s: float) -> bool:
+    """Whether the connection came up in time. Where not, the link is closed."""
+    try:
+        await asyncio.wait_for(link.stream.connect(address), timeout_s)
+        return True
+    except (TimeoutError, StreamClosedError, OSError):
+        link.close()
+        return False
+
+
+async def dial(address: tuple[str, int], timeout_s: float) -> Link | None:
+    """A connection to an address; None where none came up in time."""
+    link = unconnected(address)
+    return link if link is not None and await connect(link, address, timeout_s) else None
