Move connections off draining transcribers, spread over three aims

Seen: the module stopped sending to a draining server but left what stood there to be cut off when it stops; the operators ask that clients be told to move first. A node test (a draining transcriber gets nothing new and its clients move) follows with the stand-ins.

--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -50,6 +50,7 @@
 EASED = 0.6  # ... this where the mean is lower: no more moves than are of use
 SHOWN = 0.85  # a report under this part of the one that was answered shows that moves have worked
 LATE_AIMS = 12.0  # a report that does not show them is taken to be late for this many aims
+LEAVE_AIMS = 3.0  # a draining server's connections are moved away over this many aims
 MEAN_AIMS = 4.0  # a report's weight in the fleet's mean load halves with this age
 SURVEY_AIMS = 0.5  # the fleet is summed up this often; it changes no faster than reports come
 SURVEY_GROWTH = 1.25  # or when this balancer's own load has grown by this: at the start it grows fast
@@ -75,8 +76,8 @@
 
     __slots__ = (
         "aside_until", "budget", "budget_ns", "cell", "down", "faults", "groups", "id", "kind", "lot",
-        "listed", "load", "load_ns", "moved_load", "moved_ns", "own", "own_load", "placements", "probe_out",
-        "probed_ns", "salt", "started_ns", "trusted_ns", "watchers", "weight", "zone",
+        "leave_ns", "listed", "load", "load_ns", "moved_load", "moved_ns", "own", "own_load", "placements",
+        "probe_out", "probed_ns", "salt", "started_ns", "trusted_ns", "watchers", "weight", "zone",
     )
 
     def __init__(self, line: ServerLine) -> None:
@@ -92,6 +93,7 @@
         self.load: float | None = None  # last reported load over capacity
         self.load_ns = 0
         self.lot = 0.5  # drawn at each report: rounds this balancer's share of the room left
+        self.leave_ns = 0  # by when its connections are moved away, once it drains
         self.moved_ns = 0  # no further moves before this
         self.trusted_ns = 0  # nor before this on a report as high as ...
         self.moved_load = 0.0  # ... the one that the last move answered
@@ -222,6 +224,7 @@
             self._survey()
             self._spend_probes()
         self._follow_list()
+        self._leave_drained()
         self._place_waiting()
 
     # --- server table: list, drain, cold budget -----------------------------------------------------
@@ -244,6 +247,8 @@
                     continue
                 known = self.servers[line.server] = Server(line)
             if line.status is not Status.READY:
+                if not known.down:
+                    known.leave_ns = self.now + int(LEAVE_AIMS * self.aim_ns)
                 self._take_down(known)
                 known.listed = line.status is Status.DRAINING
             else:
@@ -811,6 +816,21 @@
         server.trusted_ns = self.now + int(LATE_AIMS * self.aim_ns)
         server.moved_load = server.load
 
+    def _leave_drained(self) -> None:
+        """Moves connections off servers that drain.
+
+        Guards against connections that are cut off when such a server stops. They are spread over a while:
+        all at once they would be set up anew all at once.
+        """
+        for server in self.servers.values():
+            if not (server.down and server.listed and server.own):
+                continue
+            standing = [flow for flow in server.own.values() if flow.standing and not flow.over]
+            left = max(self.tick_ns, server.leave_ns - self.now)
+            for flow in standing[:math.ceil(len(standing) * self.tick_ns / left)]:
+                flow.over = True
+                self.actions.append(Move(flow.request))
+
     # --- list following -----------------------------------------------------------------------------
 
     def _follow_list(self) -> None:
