--- a/puffinpost/__main__.py
+++ b/puffinpost/__main__.py
@@ -14,10 +14,12 @@
 from puffinpost.core import Core
 from puffinpost.counters import Counters
 from puffinpost.fronts.platform import PlatformFront
+from puffinpost.fronts.xmpp import XmppFront
 from puffinpost.interface import Result, ServerId
 from puffinpost.inventory import Inventory, InventoryError
 from puffinpost.net.discovery import Watch
-from puffinpost.net.link import Link
+from puffinpost.net.flows import FlowSink
+from puffinpost.net.link import Link, Receiver
 from puffinpost.net.listener import Listener
 from puffinpost.net.probes import Prober
 from puffinpost.net.south import Dialler
@@ -28,6 +30,7 @@
 MOVES_OVER_S = 1.5
 LEAST_DEADLINE_S = 3.0
 TICK_S = 0.02
+SPARE_DESCRIPTORS = 48  # for probes, discovery, the collector, and clients to be answered
 
 
 class LoopClock:
@@ -67,7 +70,14 @@
         self.watch = Watch(
             told.discovery, lambda: self.inventory.index, self._told, self.core.inventory_failed
         )
-        self.front = PlatformFront(self.core, told, Dialler(self.core))
+        dialler = Dialler(self.core)
+        self.front = PlatformFront(self.core, told.classes, dialler, self._has_room)
+        self.xmpp = (
+            XmppFront(self.core, told.xmpp, told.classes, dialler, self._has_room) if told.xmpp else None
+        )
+        self.flows = FlowSink(told.flows, told.classes, self.counters) if told.flows else None
+        if self.flows is not None:
+            self.core.on_end.append(self.flows.ended)
         self.tasks: set[asyncio.Task[None]] = set()
         self.stop = asyncio.Event()
 
@@ -92,17 +102,35 @@
         self.core.inventory_told(answer)
         self.prober.forget(self.inventory.takes_work)
 
-    def _accepted(self, link: Link) -> None:
-        task = asyncio.get_running_loop().create_task(link.run(self.front.accept(link)))
+    def _has_room(self) -> bool:
+        """Whether one more session may be had: it needs two descriptors, and some stay free."""
+        sessions = len(self.front.sessions) + (len(self.xmpp.sessions) if self.xmpp else 0)
+        return 2 * sessions + SPARE_DESCRIPTORS <= self.config.sockets
+
+    def _serve(self, link: Link, receiver: Receiver) -> None:
+        task = asyncio.get_running_loop().create_task(link.run(receiver))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def _listen(self) -> list[Listener]:
+        front, xmpp = self.front, self.xmpp
+        listeners = [
+            Listener(self.config.listen, lambda link: self._serve(link, front.accept(link)), front.turn_away)
+        ]
+        if xmpp is not None:
+            listeners.append(Listener(
+                xmpp.config.listen, lambda link: self._serve(link, xmpp.accept(link)), xmpp.turn_away
+            ))
+        for listener in listeners:
+            log.say(f"{self.config.name} listens on {listener.address[0]}:{listener.address[1]}")
+        return listeners
+
     async def run(self) -> None:
         """Serves until SIGTERM, then leaves in order."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.stop.set)
         loop.add_signal_handler(signal.SIGINT, self.stop.set)
-        loop.add_signal_handler(signal.SIGUSR1, lambda: log.say(self.counters.text()))
+        loop.add_signal_handler(signal.SIGUSR1, lambda: log.say(f"counts: {self.counters.text()}"))
         if self.config.known:
             try:
                 self.core.inventory_told(self.config.known, cached=True)
@@ -111,20 +139,22 @@
         else:
             # Nothing can be served yet, but the decisions have to be woken to ask for a list.
             self.core.inventory_failed()
-        listener = Listener(self.config.listen, self._accepted, self.front.turn_away)
-        log.say(f"{self.config.name} listens on {self.config.listen[0]}:{self.config.listen[1]}")
+        listeners = self._listen()
         await self.stop.wait()
-        await self._leave(listener)
+        await self._leave(listeners)
+        if self.flows is not None:
+            await self.flows.close()
         log.say(f"{self.config.name} ends; counts: {self.counters.text()}")
 
-    async def _leave(self, listener: Listener) -> None:
+    async def _leave(self, listeners: list[Listener]) -> None:
         """Answers what still comes, moves what stands, and ends before it would be killed."""
         longest = max(item.deadline_ns for item in self.config.settings.classes) / 1e9
         began = time.monotonic()
         end = began + max(longest, LEAST_DEADLINE_S)
         self.front.leaving = True
         await asyncio.sleep(STILL_COMING_S)
-        listener.close()
+        for listener in listeners:
+            listener.close()
         first = self.core.standing()
         random.shuffle(first)
         moved = 0
@@ -142,6 +172,8 @@
             await asyncio.sleep(TICK_S)
         for exchange in self.core.standing():
             self.core.move(exchange)
+        if self.xmpp is not None:
+            self.xmpp.shut_down()
         await asyncio.sleep(TICK_S)
 
 
--- a/puffinpost/config.py
+++ b/puffinpost/config.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import os
+import ssl
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -18,6 +19,8 @@
 
 from puffinpost import interface as api
 from puffinpost.inventory import parse_address
+from puffinpost.protocol.xmpp import LEAST_STANZA_LIMIT
+from puffinpost.protocol.xmpp_stream import ClientOptions, ServerOptions
 from puffinpost.wire import parse_settings
 
 Address = tuple[str, int]
@@ -28,6 +31,26 @@
     """What the node was told cannot be right; the text names the key."""
 
 
+@dataclass(frozen=True, slots=True)
+class XmppConfig:
+    """The XMPP front, and how its relays speak to transcribers."""
+
+    listen: Address
+    server: ServerOptions
+    client: ClientOptions
+    server_tls: ssl.SSLContext | None
+    client_tls: ssl.SSLContext | None
+    port: int  # of transcribers; 0: as the inventory has it
+
+
+@dataclass(frozen=True, slots=True)
+class FlowsConfig:
+    """The export of flows."""
+
+    collector: Address
+    domain: int
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that a node is told at its start."""
@@ -42,6 +65,8 @@
     kinds: tuple[str, ...]
     sockets: int
     known: dict[str, Any] = field(default_factory=dict)
+    xmpp: XmppConfig | None = None
+    flows: FlowsConfig | None = None
 
 
 def flatten(value: Any, path: str = "") -> list[str]:
@@ -103,6 +128,9 @@
     sockets = _of(_of(told, "limits", dict, {}), "sockets", int, 1024)
     if sockets < 16:
         raise ConfigError(f"limits.sockets: {sockets} leaves no room for connections")
+    edge = _Table(_load_edge(environ), "")
+    xmpp, flows = _xmpp(edge.table_of("xmpp")), _flows(edge.table_of("ipfix"))
+    edge.done()
     return Config(
         name=text("GW_NAME", "name"),
         listen=address("GW_LISTEN", "listen"),
@@ -114,6 +142,8 @@
         kinds=tuple(str(item) for item in raw.get("Kinds", [])),
         sockets=sockets,
         known=_of(told, "known", dict, {}),
+        xmpp=xmpp,
+        flows=flows,
     )
 
 
@@ -125,7 +155,109 @@
     return value
 
 
-def load_edge(environ: Mapping[str, str] = os.environ) -> dict[str, Any]:
+class _Table:
+    """A table of the edge file that is read key by key, and complains of what is left."""
+
+    def __init__(self, table: dict[str, Any], name: str) -> None:
+        self.table = dict(table)
+        self.name = name
+
+    def take(self, key: str, kind: type, default: Any) -> Any:
+        value = self.table.pop(key, default)
+        if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
+            raise ConfigError(f"{self.name}.{key}: {value!r} is not of type {kind.__name__}")
+        return value
+
+    def whole(self, key: str, default: int, least: int, most: int) -> int:
+        value = self.take(key, int, default)
+        if not least <= value <= most:
+            raise ConfigError(f"{self.name}.{key}: {value} is not from {least} to {most}")
+        return int(value)
+
+    def address(self, key: str) -> Address | None:
+        value = self.take(key, str, "")
+        try:
+            return parse_address(value) if value else None
+        except ValueError as problem:
+            raise ConfigError(f"{self.name}.{key}: {problem}") from None
+
+    def table_of(self, key: str) -> _Table:
+        return _Table(self.take(key, dict, {}), f"{self.name}.{key}" if self.name else key)
+
+    def file(self, key: str) -> str:
+        """The text of the file that a key names; empty where it names none."""
+        path = self.take(key, str, "")
+        try:
+            return Path(path).read_text() if path else ""
+        except (OSError, UnicodeDecodeError) as problem:
+            raise ConfigError(f"{self.name}.{key}: {path}: {problem}") from None
+
+    def done(self) -> None:
+        for key in self.table:
+            raise ConfigError(f"{self.name}.{key}: there is no such key" if self.name else f"{key}: unknown")
+
+
+def _xmpp(table: _Table) -> XmppConfig | None:
+    listen = table.address("listen")
+    domain = table.take("domain", str, "localhost")
+    certificate, key = table.take("certificate", str, ""), table.take("key", str, "")
+    ca = table.take("ca", str, "")
+    require_tls = table.take("require_tls", bool, False)
+    mechanisms = table.take("mechanisms", list, ["PLAIN"])
+    for name in mechanisms:
+        if name not in ("PLAIN", "EXTERNAL", "ANONYMOUS"):
+            raise ConfigError(f"{table.name}.mechanisms: {name!r} is not PLAIN, EXTERNAL or ANONYMOUS")
+    try:
+        users = tomllib.loads(table.file("users"))
+    except tomllib.TOMLDecodeError as problem:
+        raise ConfigError(f"{table.name}.users: {problem}") from None
+    if not all(isinstance(password, str) and password for password in users.values()):
+        raise ConfigError(f"{table.name}.users: not all passwords are texts")
+    limit = table.whole("stanza_limit", 65536, LEAST_STANZA_LIMIT, 1024 * 1024)
+    south = table.table_of("transcribers")
+    tls, south_ca = south.take("tls", bool, False), south.take("ca", str, "")
+    mechanism = south.take("mechanism", str, "ANONYMOUS")
+    if mechanism not in ("PLAIN", "ANONYMOUS"):
+        raise ConfigError(f"{south.name}.mechanism: {mechanism!r} is not PLAIN or ANONYMOUS")
+    if mechanism == "PLAIN" and not tls:
+        raise ConfigError(f"{south.name}.tls: PLAIN is spoken over TLS only")
+    client = ClientOptions(
+        south.take("domain", str, "transcribers.localhost"), mechanism, south.take("username", str, ""),
+        south.file("password_file").strip(), tls, limit,
+    )
+    port = south.whole("port", 0, 0, 65535)
+    south.done()
+    table.done()
+    if listen is None:
+        return None
+    if require_tls and not certificate:
+        raise ConfigError(f"{table.name}.certificate: require_tls needs one")
+    server = ServerOptions(domain, tuple(mechanisms), users, bool(certificate), require_tls, limit)
+    server_tls = client_tls = None
+    try:
+        if certificate:
+            server_tls = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH, cafile=ca or None)
+            server_tls.load_cert_chain(certificate, key or None)
+            if ca:
+                server_tls.verify_mode = ssl.CERT_OPTIONAL
+    except (OSError, ssl.SSLError) as problem:
+        raise ConfigError(f"{table.name}.certificate, key or ca: {problem}") from None
+    try:
+        if tls:
+            client_tls = ssl.create_default_context(cafile=south_ca or None)
+    except (OSError, ssl.SSLError) as problem:
+        raise ConfigError(f"{south.name}.ca: {problem}") from None
+    return XmppConfig(listen, server, client, server_tls, client_tls, port)
+
+
+def _flows(table: _Table) -> FlowsConfig | None:
+    collector = table.address("collector")
+    domain = table.whole("observation_domain", 1, 0, 0xFFFFFFFF)
+    table.done()
+    return FlowsConfig(collector, domain) if collector is not None else None
+
+
+def _load_edge(environ: Mapping[str, str]) -> dict[str, Any]:
     """The tables of ``deploy/edge.toml``; empty where there is no such file."""
     path = Path(environ.get("GW_EDGE") or EDGE_FILE)
     try:
--- a/puffinpost/core.py
+++ b/puffinpost/core.py
@@ -71,8 +71,8 @@
     def refuse(self, pause_ns: int) -> None:
         """The final answer is the back-off answer."""
 
-    def fail(self) -> None:
-        """The final answer is that it failed."""
+    def fail(self, overdue: bool) -> None:
+        """The final answer is that it failed; ``overdue``: for want of time."""
 
     def move(self) -> None:
         """Send the client away politely."""
@@ -89,6 +89,7 @@
     load: int | None = None
     retry: bool = False
     returning: bool = False
+    source: tuple[str, int] = ("0.0.0.0", 0)  # where the client is, for the books
 
 
 class Relay:
@@ -115,8 +116,8 @@
     """One message, from its arrival until its answer is given and its last relay is closed."""
 
     __slots__ = (
-        "answered", "came_ns", "deadline_ns", "guard", "inherited", "message", "north", "number", "relay",
-        "relays", "server", "sent", "standing", "up_ns",
+        "answered", "at", "came_ns", "deadline_ns", "guard", "inherited", "message", "north", "number",
+        "octets_north", "octets_south", "relay", "relays", "sent", "standing", "up_ns",
     )
 
     def __init__(self, number: int, message: Message, north: North, now: int) -> None:
@@ -127,7 +128,9 @@
         self.deadline_ns = now + max(0, message.wait_ns - NORTH_MARGIN_NS)
         self.relay: Relay | None = None
         self.relays = 0
-        self.server: api.ServerId = 0  # of the last relay
+        self.at = ("0.0.0.0", 0)  # the address of the last relay
+        self.octets_north = 0  # passed on from the client, and ...
+        self.octets_south = 0  # ... from the transcriber
         self.standing = False
         self.answered = False  # the final answer is given, or none is owed any more
         self.inherited = False
@@ -223,8 +226,9 @@
             self._give(lambda: api.ClientGone(exchange.number))
         self._close(exchange.relay, api.Result.CANCELLED)
 
-    def line_north(self, exchange: Exchange) -> None:
+    def line_north(self, exchange: Exchange, size: int) -> None:
         """A line of the client's went on to its transcriber."""
+        exchange.octets_north += size
         exchange.sent.append(self.clock.now())
 
     # --- relays -------------------------------------------------------------------------------------
@@ -275,7 +279,7 @@
             self._finish(exchange, "served", result)
         elif exchange.inherited and not exchange.answered:
             self._finish(exchange, "failed", result)
-            exchange.north.fail()
+            exchange.north.fail(result is api.Result.TIMEOUT)
         if not exchange.inherited or exchange.standing:
             took = self.clock.now() - relay.started_ns
             self._give(lambda: api.Outcome(
@@ -289,10 +293,11 @@
         if not relay.over and relay.exchange.standing:
             self._give(lambda: api.LoadNote(relay.exchange.number, int(us_per_s * 1000)))
 
-    def line_south(self, relay: Relay) -> None:
-        """A line came back: the echo of the oldest line that is out. Notes a slow transcriber."""
+    def line_south(self, relay: Relay, size: int, echo: bool) -> None:
+        """A line came back and goes on. An echo answers the oldest line out; a slow one is noted."""
         exchange = relay.exchange
-        if relay.over or not exchange.sent:
+        exchange.octets_south += size
+        if relay.over or not echo or not exchange.sent:
             return
         now = self.clock.now()
         delay = now - exchange.sent.popleft()
@@ -384,7 +389,7 @@
         now = self.clock.now()
         limit = exchange.deadline_ns if timeout_ns <= 0 else min(exchange.deadline_ns, now + timeout_ns)
         relay = Relay(exchange, number, server, self.inventory.addresses[server], now, limit)
-        exchange.relay, exchange.server = relay, server
+        exchange.relay, exchange.at = relay, relay.address
         relay.timer = self.clock.call_later(max(0, limit - now), lambda: self._time_out(relay))
         self.counters.add("relays")
         exchange.north.start_relay(relay)
@@ -407,7 +412,7 @@
         if answer == "refused":
             exchange.north.refuse(pause_ns)
         else:
-            exchange.north.fail()
+            exchange.north.fail(self.clock.now() >= exchange.deadline_ns)
         self.exchanges.pop(request, None)
 
     def _overdue(self, exchange: Exchange) -> None:
--- a/puffinpost/fronts/platform.py
+++ b/puffinpost/fronts/platform.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
 
 from puffinpost import interface as api
 from puffinpost import log
-from puffinpost.config import Config
 from puffinpost.core import Core, Exchange, Message, Relay
 from puffinpost.net.link import Link
 from puffinpost.net.south import Dialler
@@ -20,15 +20,15 @@
 class PlatformFront:
     """Takes clients in."""
 
-    def __init__(self, core: Core, config: Config, dialler: Dialler) -> None:
+    def __init__(self, core: Core, classes: tuple[str, ...], dialler: Dialler,
+                 has_room: Callable[[], bool]) -> None:
         self.core = core
-        self.classes = {name: number for number, name in enumerate(config.classes)}
+        self.classes = {name: number for number, name in enumerate(classes)}
         self.dialler = dialler
+        self.has_room = has_room
         self.groups = core.settings.groups
         self.leaving = False
         self.sessions: set[Session] = set()
-        # A session needs two descriptors; a few stay free for probes, discovery and the like.
-        self.most_sessions = max(1, (config.sockets - 64) // 2)
 
     def accept(self, link: Link) -> Session:
         """A client has connected; the caller runs the link with the session."""
@@ -41,7 +41,7 @@
         """Answers a connection for which there was no descriptor but the spare one."""
         connection.send(FULL)
 
-    def message(self, opening: lines.Opening) -> Message:
+    def message(self, opening: lines.Opening, source: tuple[str, int]) -> Message:
         """A first line in the core's terms. ``LineError`` where its class is unknown."""
         klass = self.classes.get(opening.klass)
         if klass is None:
@@ -49,7 +49,7 @@
         group = opening.group if self.groups else 0
         return Message(
             klass, opening.wait_ms * 1_000_000, opening.key, group, opening.load, opening.retry,
-            opening.returning,
+            opening.returning, source,
         )
 
 
@@ -94,8 +94,8 @@
 
     def _open(self, line: bytes) -> None:
         self.opening = opening = lines.parse_opening(line)
-        message = self.front.message(opening)
-        if len(self.front.sessions) > self.front.most_sessions:
+        message = self.front.message(opening, self.link.peer)
+        if not self.front.has_room():
             self._say(FULL)
             return
         if opening.at is None:
@@ -142,7 +142,7 @@
     def refuse(self, pause_ns: int) -> None:
         self._say(lines.refusal(pause_ns // 1_000_000))
 
-    def fail(self) -> None:
+    def fail(self, overdue: bool) -> None:
         self._say(lines.FAILED)
 
     def move(self) -> None:
@@ -192,10 +192,13 @@
     def connected(self) -> None:
         self._write(self.opening.onward(self.core.left_ms(self.relay)))
 
+    def flushed(self) -> None:
+        self.core.written(self.relay)
+
     def pass_on(self, line: bytes) -> None:
         """A line of the client's, as it came."""
         self._write(line)
-        self.core.line_north(self.relay.exchange)
+        self.core.line_north(self.relay.exchange, len(line))
 
     def _write(self, data: bytes) -> None:
         if self.link is not None:
@@ -235,10 +238,9 @@
                 self.core.load(self.relay, load)
         elif word in (lines.Word.BYE, lines.Word.MOVE):
             self.last = word
-        else:
-            self.core.line_south(self.relay)
         if not self.relay.over:
             self.session.link.write(line)
+            self.core.line_south(self.relay, len(line), word is lines.Word.OTHER)
 
     def lost(self, reset: bool) -> None:
         if self.relay.exchange.standing:
--- /dev/null
+++ b/puffinpost/net/flows.py
@@ -0,0 +1,107 @@
+"""Sends flow records to an IPFIX collector, over TCP. A slow or absent one costs records, never service."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+
+from tornado.iostream import StreamClosedError
+
+from puffinpost import log
+from puffinpost.config import FlowsConfig
+from puffinpost.core import Ended
+from puffinpost.counters import Counters
+from puffinpost.interface import Result
+from puffinpost.net.link import Link, dial
+from puffinpost.protocol import ipfix
+
+MOST_WAITING = 4096
+AT_ONCE = 128
+CONNECT_S = 2.0
+AGAIN_S = 1.0
+SEND_S = 5.0  # a collector that takes longer for a message is taken to be gone
+FAREWELL_S = 0.2
+
+_REASONS = {
+    Result.SERVED: ipfix.END_DETECTED, Result.TIMEOUT: ipfix.IDLE_TIMEOUT, Result.RESET: ipfix.END_DETECTED,
+    Result.CANCELLED: ipfix.FORCED_END,
+}
+
+
+class FlowSink:
+    """Keeps a bounded number of records and sends them in turn."""
+
+    def __init__(self, config: FlowsConfig, classes: tuple[str, ...], counters: Counters) -> None:
+        self.config = config
+        self.classes = classes
+        self.counters = counters
+        self._waiting: deque[ipfix.Flow] = deque()
+        self._more = asyncio.Event()
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def ended(self, told: Ended) -> None:
+        """A message has its end; one that stood is a flow."""
+        exchange = told.exchange
+        if not exchange.up_ns:
+            return
+        if len(self._waiting) >= MOST_WAITING:
+            self.counters.add("flows_dropped")
+            return
+        self._waiting.append(ipfix.Flow(
+            exchange.came_ns // 1_000_000, told.now // 1_000_000, exchange.message.source, exchange.at,
+            exchange.octets_north, exchange.octets_south,
+            _REASONS.get(told.result or Result.RESET, ipfix.END_DETECTED),
+            self.classes[exchange.message.klass],
+        ))
+        self._more.set()
+
+    async def close(self) -> None:
+        """Sends what waits, if that is quickly done."""
+        until = time.monotonic() + FAREWELL_S
+        while self._waiting and time.monotonic() < until:
+            await asyncio.sleep(0.01)
+        self._task.cancel()
+        self.counters.add("flows_dropped", len(self._waiting))
+
+    async def _run(self) -> None:
+        while True:
+            await self._more.wait()
+            link = await dial(self.config.collector, CONNECT_S)
+            if link is not None:
+                try:
+                    await self._session(link)
+                except (StreamClosedError, TimeoutError) as problem:
+                    log.say(f"ipfix: the collector is lost: {type(problem).__name__}")
+                except Exception:
+                    log.say_exception("ipfix")
+                finally:
+                    link.close(reset=True)
+            await asyncio.sleep(AGAIN_S)
+
+    async def _session(self, link: Link) -> None:
+        # A collector writes nothing; a read that ends is how its leaving shows.
+        gone = asyncio.Event()
+        link.stream.set_close_callback(gone.set)
+        encoder = ipfix.Encoder(self.config.domain)
+        await self._send(link, encoder.templates(int(time.time())))
+        while not gone.is_set():
+            batch = [self._waiting.popleft() for _ in range(min(AT_ONCE, len(self._waiting)))]
+            if batch:
+                try:
+                    await self._send(link, encoder.flows(int(time.time()), batch))
+                except BaseException:
+                    # Nobody can tell what of it arrived, and a record must not be counted twice there.
+                    self.counters.add("flows_dropped", len(batch))
+                    raise
+                self.counters.add("flows_sent", len(batch))
+            else:
+                self._more.clear()
+                waits = [asyncio.ensure_future(self._more.wait()), asyncio.ensure_future(gone.wait())]
+                await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+                for wait in waits:
+                    wait.cancel()
+
+    async def _send(self, link: Link, data: bytes) -> None:
+        link.write(data)
+        await asyncio.wait_for(link.flushed(), SEND_S)
--- a/puffinpost/net/link.py
+++ b/puffinpost/net/link.py
@@ -5,8 +5,11 @@
 import asyncio
 import contextlib
 import socket
+import ssl
 import struct
-from typing import Protocol
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
 
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.locks import Event
@@ -17,6 +20,16 @@
 BEHIND = 64 * 1024  # a side that has this much unsent is waited for before more is read for it
 MOST_UNSENT = 1024 * 1024
 LINGER_S = 1.0
+HANDSHAKE_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Tls:
+    """How a link goes over to TLS."""
+
+    context: ssl.SSLContext
+    server_side: bool
+    hostname: str | None = None
 
 
 class Receiver(Protocol):
@@ -41,6 +54,9 @@
         self._open = Event()
         self._open.set()
         self._closing = False
+        self._handshaking = False
+        self._upgrade: tuple[Tls, Callable[[str], None]] | None = None
+        self.peer = ("0.0.0.0", 0)
         stream.set_nodelay(True)
 
     @property
@@ -58,10 +74,13 @@
                 if self._closing:
                     return
                 receiver.received(data)
+                if self._upgrade is not None:
+                    await self._secure(*self._upgrade)
                 # Guards against a side that does not read: what is kept for it stays bounded.
                 while self.sink is not None and self.sink.unsent > BEHIND and not self.sink.closed:
                     await self.sink.flushed()
-        except StreamClosedError:
+        except (StreamClosedError, ssl.SSLError, TimeoutError):
+            self.stream.close()
             if not self._closing:
                 self._closing = True
                 receiver.lost(self.stream.error is not None)
@@ -69,6 +88,28 @@
             log.say_exception("connection ended")
             receiver.broke()
 
+    def secure(self, tls: Tls, done: Callable[[str], None]) -> None:
+        """Goes over to TLS once what was written is out; ``done`` is told the name on the peer's certificate.
+
+        To be called while bytes are being received: nothing more is read in the clear.
+        """
+        self._upgrade = tls, done
+
+    async def _secure(self, tls: Tls, done: Callable[[str], None]) -> None:
+        self._upgrade = None
+        await self.flushed()
+        self._handshaking = True
+        try:
+            upgraded = self.stream.start_tls(tls.server_side, tls.context, tls.hostname)
+            self.stream = await asyncio.wait_for(upgraded, HANDSHAKE_S)
+        finally:
+            self._handshaking = False
+        if self._closing:
+            self.stream.close()
+            return
+        connection = self.stream.socket
+        done(_certified(connection.getpeercert() or {} if isinstance(connection, ssl.SSLSocket) else {}))
+
     def hold(self, held: bool) -> None:
         """Stops reading, or goes on."""
         if held:
@@ -98,6 +139,8 @@
             return
         self._closing = True
         self._open.set()
+        if self._handshaking:
+            return  # the stream is between two states; it is closed when the handshake ends
         if reset and not self.stream.closed():
             self.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         elif self.stream.writing():
@@ -112,6 +155,12 @@
         self.stream.close()
 
 
+def _certified(certificate: dict[str, Any]) -> str:
+    """The common name on a certificate that was checked; empty where there is none."""
+    names = [value for part in certificate.get("subject", ()) for key, value in part if key == "commonName"]
+    return str(names[0]) if names else ""
+
+
 def unconnected(address: tuple[str, int]) -> Link | None:
     """A link to be connected; None where there is no descriptor left for it."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
--- a/puffinpost/net/listener.py
+++ b/puffinpost/net/listener.py
@@ -21,6 +21,7 @@
 
     def __init__(self, address: tuple[str, int], accepted: Callable[[Link], None],
                  turned_away: Callable[[socket.socket], None]) -> None:
+        self.address = address
         self.accepted = accepted
         self.turned_away = turned_away
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
@@ -42,7 +43,7 @@
     def _accept(self, most: int) -> None:
         for _ in range(most):
             try:
-                connection, _address = self.socket.accept()
+                connection, address = self.socket.accept()
             except BlockingIOError:
                 return
             except OSError as problem:
@@ -51,7 +52,9 @@
                 if problem.errno == errno.ECONNABORTED:
                     continue
                 return
-            self.accepted(Link(IOStream(connection, max_buffer_size=MOST_UNSENT)))
+            link = Link(IOStream(connection, max_buffer_size=MOST_UNSENT))
+            link.peer = address[:2]
+            self.accepted(link)
 
     def _turn_away(self) -> bool:
         """Gives the spare descriptor to one connection, for as long as its answer takes."""
--- a/puffinpost/net/south.py
+++ b/puffinpost/net/south.py
@@ -21,6 +21,9 @@
     def connected(self) -> None:
         """The connection is up and the relay may be written: write what it begins with."""
 
+    def flushed(self) -> None:
+        """What it begins with is out."""
+
 
 class Dialler:
     """Starts relays. Each gets a socket of its own, which is there to be closed from the start."""
@@ -54,5 +57,5 @@
             core.ended(relay, Result.CONNECT_FAILED)
             return
         if not relay.over:
-            core.written(relay)
+            south.flushed()
             await link.run(south)
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,192 @@
+"""What the node's tests share: the real program as a process, and stand-ins for those it speaks with."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import select
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+from typing import Any
+
+WAIT_S = 10.0  # for a condition that must come true; a pass never takes it
+ROOT = Path(__file__).parent.parent
+
+SETTINGS: dict[str, Any] = {
+    "Me": 0, "FleetSize": 1, "Locality": 0, "Dcs": ["amman", "aqaba"], "Kinds": ["large", "small"],
+    "Classes": [
+        {"Name": "live-text", "AimNs": 800_000_000, "HardLimitNs": 3_000_000_000, "Repeat": "safe",
+         "Streaming": True, "Worth": 3.0},
+        {"Name": "once", "AimNs": 800_000_000, "HardLimitNs": 3_000_000_000, "Repeat": "unsafe",
+         "Streaming": True, "Worth": 3.0},
+    ],
+    "Discovery": "on_request", "FamilyInfo": {"MessageAimNs": [100_000_000, 60_000_000], "Mode": "proxy"},
+    "Limits": {"AttemptsCap": 5, "Cancel": True, "MaxRetryAfterNs": 2_000_000_000, "RetryAfter": True,
+               "DialTimeoutNs": 200_000_000, "Probes": False},
+    "Report": {"Source": "on_probe", "Fields": ["x0", "concurrent"]}, "RoundNs": 2_000_000,
+    "Rules": {"DrainGraceNs": 500_000_000, "ColdFrom": 0.35, "RampTimeNs": 9_000_000_000,
+              "FallMultiple": 3.0, "FallNs": 3_000_000_000, "AnswerSlackNs": 8_000_000,
+              "AskWithinNs": 1_000_000_000},
+    "Weights": "nominal", "Tenants": [],
+}
+
+
+class Peer:
+    """One end of a connection, spoken to by a test."""
+
+    def __init__(self, connection: socket.socket) -> None:
+        self.socket = connection
+        connection.settimeout(WAIT_S)
+        self.buffer = b""
+
+    def send(self, data: bytes) -> None:
+        self.socket.sendall(data)
+
+    def until(self, mark: bytes) -> bytes:
+        """All up to a mark, the mark included."""
+        while mark not in self.buffer:
+            data = self.socket.recv(65536)
+            if not data:
+                raise EOFError(f"ended before {mark!r}: {self.buffer!r}")
+            self.buffer += data
+        head, found, self.buffer = self.buffer.partition(mark)
+        return head + found
+
+    def line(self) -> bytes:
+        return self.until(b"\r\n")
+
+    def ending(self) -> str:
+        """How the other end closes: 'end' or 'reset'. What still comes before it is kept."""
+        try:
+            while data := self.socket.recv(65536):
+                self.buffer += data
+        except ConnectionResetError:
+            return "reset"
+        return "end"
+
+    def close(self, how: str = "end") -> None:
+        if how == "reset":
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.socket.close()
+
+
+class Server:
+    """A listener that a test accepts from by hand. TCP itself takes connections in meanwhile."""
+
+    def __init__(self) -> None:
+        self.socket = socket.create_server(("127.0.0.1", 0))
+        self.socket.settimeout(WAIT_S)
+        self.port = self.socket.getsockname()[1]
+        self.address = f"127.0.0.1:{self.port}"
+
+    def accept(self) -> Peer:
+        return Peer(self.socket.accept()[0])
+
+    def asked(self) -> bool:
+        """Whether a connection waits to be accepted."""
+        return bool(select.select([self.socket], [], [], 0)[0])
+
+
+class Discovery:
+    """Answers long polls with what it was told last."""
+
+    def __init__(self) -> None:
+        self.server = Server()
+        self.entries: dict[str, dict[str, Any]] = {}
+        self.index = 0
+        self.changed = threading.Condition()
+        self.calls = 0
+        self.links: list[socket.socket] = []
+        threading.Thread(target=self._listen, daemon=True).start()
+
+    def tell(self, name: str, address: str, status: str = "up", **more: Any) -> None:
+        with self.changed:
+            self.index += 1
+            self.entries[name] = {"name": name, "address": address, "zone": "amman", "type": "large",
+                                  "group": 0, "status": status, "weight": 1.0, "since_ms": 0, **more}
+            self.changed.notify_all()
+
+    def list(self) -> dict[str, Any]:
+        return {"index": self.index, "snapshot": True, "endpoints": list(self.entries.values())}
+
+    def wait_calls(self, count: int) -> None:
+        with self.changed:
+            assert self.changed.wait_for(lambda: self.calls >= count, WAIT_S)
+
+    def _listen(self) -> None:
+        self.server.socket.settimeout(None)
+        while True:
+            connection = self.server.socket.accept()[0]
+            self.links.append(connection)
+            threading.Thread(target=self._serve, args=(Peer(connection),), daemon=True).start()
+
+    def _serve(self, peer: Peer) -> None:
+        peer.socket.settimeout(None)
+        with contextlib.suppress(EOFError, OSError):
+            while True:
+                request = peer.until(b"\r\n\r\n").decode()
+                after = int(request.split("after=")[1].split("&")[0])
+                with self.changed:
+                    self.calls += 1
+                    self.changed.notify_all()
+                    self.changed.wait_for(lambda: self.index > after, 20)  # noqa: B023
+                    body = json.dumps(self.list()).encode()
+                peer.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        return int(taken.getsockname()[1])
+
+
+class Node:
+    """The real program, started as the platform starts it."""
+
+    def __init__(self, folder: Path, discovery: Discovery, settings: dict[str, Any] | None = None,
+                 edge: str = "", sockets: int = 1024) -> None:
+        self.port, self.folder = free_port(), folder
+        told = {
+            "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": discovery.server.address,
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "known": discovery.list(), "settings": {**SETTINGS, **(settings or {})},
+        }
+        (folder / "config.json").write_text(json.dumps(told))
+        (folder / "edge.toml").write_text(edge)
+        self.log = folder / "log"
+        with self.log.open("wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "puffinpost"], cwd=ROOT, stderr=log,
+                env={**os.environ, "GW_CONFIG": str(folder / "config.json"),
+                     "GW_EDGE": str(folder / "edge.toml")},
+            )
+        self.wait_log("listens on", 1 + edge.count("listen ="))
+
+    def wait_log(self, text: str, count: int = 1) -> None:
+        until = time.monotonic() + WAIT_S
+        while self.log.read_text().count(text) < count:
+            assert self.process.poll() is None and time.monotonic() < until, self.log.read_text()
+            time.sleep(0.01)
+
+    def client(self, data: bytes = b"", port: int = 0) -> Peer:
+        peer = Peer(socket.create_connection(("127.0.0.1", port or self.port)))
+        peer.send(data)
+        return peer
+
+    def counts(self) -> dict[str, int]:
+        """The node's counters, asked for as people do."""
+        before = self.log.read_text().count("counts: ")
+        self.process.send_signal(signal.SIGUSR1)
+        self.wait_log("counts: ", before + 1)
+        said = self.log.read_text().rsplit("counts: ", 1)[1].split("\n")[0]
+        return {name: int(count) for name, count in (item.split("=") for item in said.split())}
+
+    def stop(self) -> int:
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(WAIT_S)
