--- a/puffinpost/net/link.py
+++ b/puffinpost/net/link.py
@@ -51,6 +51,7 @@
     def __init__(self, stream: IOStream) -> None:
         self.stream = stream
         self.sink: Link | None = None  # where what comes goes on to
+        self.unsent = 0  # bytes that the kernel has not taken yet
         self._open = Event()
         self._open.set()
         self._closing = False
@@ -117,17 +118,18 @@
         else:
             self._open.set()
 
-    @property
-    def unsent(self) -> int:
-        """Bytes that the kernel has not taken yet."""
-        return len(self.stream._write_buffer)
-
     def write(self, data: bytes) -> None:
         """Writes, at once where the kernel takes it; nothing happens on a closed link."""
         if self.closed:
             return
         with contextlib.suppress(StreamClosedError):  # the reading side sees the end too, and tells
-            self.stream.write(data)
+            written = self.stream.write(data)
+            if not written.done():
+                self.unsent += len(data)
+                written.add_done_callback(lambda done: self._sent(len(data)))
+
+    def _sent(self, size: int) -> None:
+        self.unsent -= size
 
     async def flushed(self) -> None:
         """Waits until what was written is out."""
--- a/puffinpost/protocol/xmpp.py
+++ b/puffinpost/protocol/xmpp.py
@@ -82,7 +82,6 @@
 
     condition: str
     text: str
-    end: int
 
 
 Event: TypeAlias = Header | Stanza | Closed | Fault
@@ -110,6 +109,7 @@
         self._stream: list[Element] = []
         self._opened = False
         self._over = False
+        self._tag_end, self._empty = at, False  # of the last first tag of the stream or of a stanza
         self._cut_at: int | None = None
         self._mark = at  # the end of the last event
         self._kept = bytearray()  # the bytes from the mark on
@@ -154,18 +154,20 @@
                 self._begin(cut)
                 rest = bytes(kept[cut - mark:])
                 continue
+            if len(self._stream) == 1 and self._kept.isspace():
+                self._skip(len(self._kept))
             if not self._over and len(self._kept) > self.limit:
                 self._fault("policy-violation", f"a stanza is longer than {self.limit} bytes")
             rest = b""
         return events
 
-    def behind(self, event: Event) -> bytes:
+    def behind(self, event: Header | Stanza) -> bytes:
         """The bytes of the last feed that came after an event of it."""
         return self._chunk[max(0, len(self._chunk) - (self._fed - event.end)):]
 
     def _fault(self, condition: str, text: str) -> None:
         self._over = True
-        self._events.append(Fault(condition, text, self._fed))
+        self._events.append(Fault(condition, text))
 
     def _restricted(self, what: str) -> None:
         raise _Stop("restricted-xml", f"{what} is not allowed")
@@ -190,13 +192,16 @@
             return
         element = Element(namespace, name, attributes)
         self._stream.append(element)
+        if depth == 1:
+            self._skip(self._at())
+        if depth < 2:
+            self._tag_end, self._empty = self._tag_ends()
         if depth == 0:
             if (namespace, name) != (STREAM, "stream"):
                 raise _Stop("invalid-namespace", "the first element is not a stream")
             extra = {key: uri for key, uri in self._prefixes.items() if key and uri not in (STREAM, CLIENT)}
-            end = self._ends()
-            self._cut(end)
-            self._events.append(Header(attributes, self._prefixes.get("", ""), extra, end))
+            self._cut(self._tag_end)
+            self._events.append(Header(attributes, self._prefixes.get("", ""), extra, self._tag_end))
         elif depth > 1:
             self._stream[depth - 1].children.append(element)
 
@@ -204,14 +209,17 @@
         if self._cut_at is not None or self._over:
             return
         element = self._stream.pop()
-        end = self._ends()
+        if len(self._stream) > 1:
+            return
+        end = self._tag_end if self._empty else self._end_tag_ends()
+        self._empty = False
         if not self._stream:
             self._over = True
             self._cut(end)
             self._events.append(Closed(end))
-        elif len(self._stream) == 1:
+        else:
             raw = self._cut(end)
-            self._events.append(Stanza(element, raw[raw.index(b"<"):], end))
+            self._events.append(Stanza(element, raw, end))
 
     def _on_text(self, text: str) -> None:
         if self._cut_at is not None or self._over or not self._stream:
@@ -220,19 +228,26 @@
             self._stream[-1].text += text
         elif text.strip(" \t\r\n"):
             raise _Stop("bad-format", "text between stanzas")
-        else:
-            # Whitespace that keeps the connection alive belongs to no stanza.
-            self._cut(max(self._mark, self._origin + self._expat.CurrentByteIndex))
-
-    def _ends(self) -> int:
-        """Where the tag that expat is at ends; in quotes a '>' ends nothing."""
-        at = self._origin + self._expat.CurrentByteIndex - self._mark
-        if self._kept[at:at + 2] == b"</":
-            return self._mark + self._kept.index(b">", at) + 1
-        match = _TAG.match(self._kept, at)
+
+    def _at(self) -> int:
+        """Where in what is kept the tag begins that expat is at."""
+        return self._origin + self._expat.CurrentByteIndex - self._mark
+
+    def _tag_ends(self) -> tuple[int, bool]:
+        """Where a first tag ends, and whether its element ends with it; in quotes a '>' ends nothing."""
+        match = _TAG.match(self._kept, self._at())
         if match is None:
             raise _Stop("not-well-formed", "a tag that cannot be read")
-        return self._mark + match.end()
+        return self._mark + match.end(), match.group().endswith(b"/>")
+
+    def _end_tag_ends(self) -> int:
+        # Not for an empty element: there expat stands behind its tag, where anything may follow.
+        return self._mark + self._kept.index(b">", self._at()) + 1
+
+    def _skip(self, size: int) -> None:
+        """Drops what belongs to no stanza: whitespace that keeps the connection alive."""
+        del self._kept[:size]
+        self._mark += size
 
     def _cut(self, end: int) -> bytes:
         raw = bytes(self._kept[:end - self._mark])
@@ -284,7 +299,7 @@
 
 
 def readdress(raw: bytes, prefixes: Mapping[str, str], addresses: Mapping[str, str]) -> bytes:
-    """A stanza's bytes with other addresses. What its stream's header declared is declared on it."""
+    """A stanza's bytes with other addresses. A prefix that only its stream declares is declared on it."""
     match = _TAG.match(raw)
     assert match is not None  # the parser has found this very tag
     tag = match.group()
@@ -293,7 +308,7 @@
     there = {found.group(1): found.group() for found in _ATTRIBUTE.finditer(tag)}
     kept = b"".join(text for key, text in there.items() if key not in (b"to", b"from"))
     for prefix, uri in prefixes.items():
-        if f"xmlns:{prefix}".encode() not in there:
+        if f"xmlns:{prefix}".encode() not in there and f"{prefix}:".encode() in raw:
             kept += f" xmlns:{prefix}='{escape(uri)}'".encode()
     for key, value in addresses.items():
         if value:
--- a/puffinpost/protocol/xmpp_stream.py
+++ b/puffinpost/protocol/xmpp_stream.py
@@ -69,7 +69,7 @@
                         self.fail(condition, text)
                 if self.over:
                     return
-                if self.parser is not parser:
+                if self.parser is not parser and isinstance(event, xmpp.Stanza):
                     # The stream begins anew behind this stanza.
                     rest = parser.behind(event)
                     break
