Survive failures of the decisions; test the core, flow export and discovery's forms

Seen while testing: a relay that connected before a drain was told is withdrawn with no byte written, as wanted.

--- a/puffinpost/core.py
+++ b/puffinpost/core.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import traceback
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -335,11 +336,26 @@
         try:
             while self._events:
                 made = self._events.popleft()()
-                for action in self.balancer.handle(made, self.clock.now()):
-                    self._act(action)
+                try:
+                    for action in self.balancer.handle(made, self.clock.now()):
+                        self._act(action)
+                except Exception:
+                    self._spoilt(made)
         finally:
             self._busy = False
 
+    def _spoilt(self, event: api.Event) -> None:
+        """Guards the node against a failure of the decisions: it ends the one message that it was about."""
+        self.counters.add("exceptions")
+        self.ports.log(f"decisions on {type(event).__name__}: {traceback.format_exc(limit=-3)}")
+        exchange = self.exchanges.get(getattr(event, "request", 0))
+        if exchange is not None:
+            self.move(exchange)
+            self._answer(exchange.number, "failed", 0)
+        if isinstance(event, api.TimerDue):
+            # The decisions run on a timer that they set again each time it is due.
+            self.clock.call_later(SWEEP_NS, lambda: self._give(lambda: event))
+
     def _act(self, action: api.Action) -> None:
         match action:
             case api.Timer(after, token):
--- a/puffinpost/fronts/platform.py
+++ b/puffinpost/fronts/platform.py
@@ -125,6 +125,7 @@
 
     def broke(self) -> None:
         if self.exchange is not None:
+            self.core.move(self.exchange)  # where it stands; else there is nothing to move
             self.core.gone(self.exchange)
         self._say(lines.FAILED)
 
--- a/puffinpost/protocol/lines.py
+++ b/puffinpost/protocol/lines.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
 
@@ -22,28 +23,25 @@
         self.longest = longest
         self._rest = bytearray()
 
-    def feed(self, data: bytes) -> list[bytes]:
-        """The lines that are whole now, each with its ending. ``LineError``: one is too long.
-
-        The lines before an overlong one are lost with it: the connection ends there anyway.
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """The lines that are whole now, each with its ending. ``LineError`` where one is too long, after
+        those before it.
         """
         # An LF alone ends a line too: a peer that is lax about CR is still understood, and what goes on
         # is what it wrote.
-        self._rest += data
-        if b"\n" not in data:
-            lines = []
-        else:
-            whole, _, rest = bytes(self._rest).rpartition(b"\n")
-            lines = [line + b"\n" for line in whole.split(b"\n")]
-            self._rest = bytearray(rest)
-        if len(self._rest) > self.longest or any(len(line) > self.longest for line in lines):
+        first, found, rest = data.partition(b"\n")
+        self._rest += first + found
+        while found:
+            line = bytes(self._rest)
+            self._check()
+            first, found, rest = rest.partition(b"\n")
+            self._rest = bytearray(first + found)
+            yield line
+        self._check()
+
+    def _check(self) -> None:
+        if len(self._rest) > self.longest:
             raise LineError(f"a line is longer than {self.longest} bytes")
-        return lines
-
-    @property
-    def rest(self) -> int:
-        """How many bytes of an unfinished line are kept."""
-        return len(self._rest)
 
 
 # --- the north side ---------------------------------------------------------------------------------
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -103,6 +103,7 @@
         self.index = 0
         self.changed = threading.Condition()
         self.calls = 0
+        self.form = ""  # of the replies
         self.links: list[socket.socket] = []
         threading.Thread(target=self._listen, daemon=True).start()
 
@@ -113,13 +114,27 @@
                                   "group": 0, "status": status, "weight": 1.0, "since_ms": 0, **more}
             self.changed.notify_all()
 
-    def list(self) -> dict[str, Any]:
+    def told(self) -> dict[str, Any]:
         return {"index": self.index, "snapshot": True, "endpoints": list(self.entries.values())}
 
     def wait_calls(self, count: int) -> None:
         with self.changed:
             assert self.changed.wait_for(lambda: self.calls >= count, WAIT_S)
 
+    def reply(self, body: bytes) -> list[bytes]:
+        plain = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        if self.form == "chunked":
+            chunks = b"".join(b"%x;x=y\r\n%s\r\n" % (len(body[at:at + 9]), body[at:at + 9])
+                              for at in range(0, len(body), 9))
+            return [b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                    chunks, b"0\r\nTrailer: x\r\n\r\n"]
+        if self.form == "bytes":
+            return [plain[at:at + 1] for at in range(len(plain))]
+        bad = {"to the end": b"HTTP/1.0 200 OK\r\n\r\n" + body, "garbage": b"SSH-2.0-x\r\n\r\n",
+               "503": b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+               "not a list": b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n[{}]"}
+        return [bad.get(self.form, plain)]
+
     def _listen(self) -> None:
         self.server.socket.settimeout(None)
         while True:
@@ -137,8 +152,11 @@
                     self.calls += 1
                     self.changed.notify_all()
                     self.changed.wait_for(lambda: self.index > after, 20)  # noqa: B023
-                    body = json.dumps(self.list()).encode()
-                peer.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+                    body = json.dumps(self.told()).encode()
+                for part in self.reply(body):
+                    peer.send(part)
+                if self.form == "to the end":
+                    peer.close()
 
 
 def free_port() -> int:
@@ -155,7 +173,7 @@
         told = {
             "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": discovery.server.address,
             "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
-            "known": discovery.list(), "settings": {**SETTINGS, **(settings or {})},
+            "known": discovery.told(), "settings": {**SETTINGS, **(settings or {})},
         }
         (folder / "config.json").write_text(json.dumps(told))
         (folder / "edge.toml").write_text(edge)
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,160 @@
+"""The core by itself, where a race cannot be forced through sockets."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from standins import SETTINGS
+
+from puffinpost import interface as api
+from puffinpost.config import flatten
+from puffinpost.core import MS, Core, Message, Relay
+from puffinpost.counters import Counters
+from puffinpost.inventory import Inventory
+from puffinpost.wire import parse_settings
+
+ENTRY: dict[str, Any] = {
+    "address": "127.0.0.1:1", "zone": "amman", "type": "large", "status": "up", "since_ms": 0,
+}
+
+
+class Stage:
+    """A clock, ports and a north side, all driven by hand."""
+
+    def __init__(self) -> None:
+        self.time = 10**15
+        self.calls: list[tuple[int, int, Callable[[], None]]] = []
+        self.order = itertools.count()
+        self.said: list[str] = []
+        self.relays: list[Relay] = []
+        settings = parse_settings("\n".join(flatten(SETTINGS)))
+        self.core = Core(settings, 1, Inventory(("amman",), ("large",)), self, self, Counters())
+        self.tell("up", "up")
+
+    def tell(self, *statuses: str) -> None:
+        entries = [{**ENTRY, "name": f"s-{n}", "status": status} for n, status in enumerate(statuses)]
+        self.core.inventory_told({"index": 1, "snapshot": True, "endpoints": entries})
+
+    def run(self, span_ms: int) -> None:
+        until = self.time + span_ms * MS
+        while self.calls and self.calls[0][0] <= until:
+            self.time, _, call = heapq.heappop(self.calls)
+            call()
+        self.time = until
+
+    def now(self) -> int:
+        return self.time
+
+    def call_later(self, after_ns: int, callback: Callable[[], None]) -> Any:
+        heapq.heappush(self.calls, (self.time + after_ns, next(self.order), callback))
+
+    def cancel(self, handle: Any) -> None:
+        pass  # a call that comes late must change nothing
+
+    def probe(self, server: api.ServerId) -> None:
+        raise AssertionError("the settings allow no probes")
+
+    def subscribe(self) -> None:
+        pass
+
+    def log(self, text: str) -> None:
+        self.said.append("log")
+
+    def start_relay(self, relay: Relay) -> None:
+        assert all(it.over for it in self.relays), "a second relay is out"
+        self.relays.append(relay)
+
+    def drop_relay(self, relay: Relay) -> None:
+        self.said.append("drop")
+
+    def refuse(self, pause_ns: int) -> None:
+        self.said.append("refused")
+
+    def fail(self, overdue: bool) -> None:
+        self.said.append("overdue" if overdue else "failed")
+
+    def move(self) -> None:
+        self.said.append("moved")
+
+
+def test_a_transcriber_that_drains_while_its_relay_connects_gets_no_byte() -> None:
+    stage = Stage()
+    stage.core.open(Message(0, 3000 * MS), stage)
+    [relay] = stage.relays
+    assert stage.core.may_write(relay)
+    drains = [stage.core.inventory.find(f"s-{n}") for n in (0, 1)].index(relay.server)
+    stage.tell(*("draining" if n == drains else "up" for n in (0, 1)))
+    assert not stage.core.may_write(relay)
+    stage.core.ended(relay, api.Result.CONNECT_FAILED)
+    assert len(stage.relays) == 2 and stage.core.may_write(stage.relays[1])
+
+
+@pytest.mark.parametrize("written", [False, True])
+def test_a_time_out_of_what_was_never_written_is_no_time_out(written: bool) -> None:
+    stage = Stage()
+    stage.core.open(Message(1, 3000 * MS), stage)  # may run once only
+    if written:
+        stage.core.written(stage.relays[0])
+    stage.run(3001)
+    assert stage.said[-1] == ("overdue" if written else "refused") and not stage.core.exchanges
+    assert sum(said in ("refused", "overdue", "failed") for said in stage.said) == 1
+
+
+def test_an_up_that_comes_after_the_answer_changes_nothing() -> None:
+    stage = Stage()
+    exchange = stage.core.open(Message(0, 500 * MS), stage)
+    stage.run(600)
+    assert stage.said.count("refused") == 1 and not stage.core.up(stage.relays[0])
+    stage.core.ended(stage.relays[0], api.Result.RESET)
+    stage.core.gone(exchange)
+    assert stage.said.count("refused") == 1 and not stage.core.exchanges
+
+
+def test_decisions_that_send_twice_or_stay_silent_break_no_rule(monkeypatch: pytest.MonkeyPatch) -> None:
+    stage = Stage()
+    told: list[api.Event] = []
+
+    def decide(event: api.Event, now_ns: int) -> list[api.Action]:
+        told.append(event)
+        server = stage.core.inventory.find("s-0") or 0
+        return [api.Send(1, server, 0)] * 2 if isinstance(event, api.Request) else []
+
+    monkeypatch.setattr(stage.core.balancer, "handle", decide)
+    stage.core.open(Message(0, 500 * MS), stage)
+    assert len(stage.relays) == 1
+    assert [(it.attempt, it.result) for it in told if isinstance(it, api.Outcome)] == [(1, api.Result.MOOT)]
+    stage.run(600)
+    assert stage.said[-1] == "overdue" and not stage.core.exchanges
+
+
+@pytest.mark.parametrize("stands", [False, True])
+def test_an_exception_of_the_decisions_ends_one_message(
+    monkeypatch: pytest.MonkeyPatch, stands: bool
+) -> None:
+    stage = Stage()
+    other = stage.core.open(Message(0, 3000 * MS), stage)
+    stage.core.up(stage.relays[0])
+    if stands:
+        def broken(event: api.LoadNote) -> None:
+            raise RuntimeError("boom")
+        monkeypatch.setattr(stage.core.balancer, "_on_load_note", broken)
+        stage.core.load(stage.relays[0], 5.0)
+        assert stage.said == ["log", "moved", "drop"] and not stage.core.exchanges
+    else:
+        monkeypatch.setattr(stage.core.balancer, "_place", lambda flow: 1 / 0)
+        stage.core.open(Message(0, 3000 * MS), stage)
+        assert stage.said == ["log", "failed"] and other.standing and list(stage.core.exchanges) == [1]
+
+
+def test_a_name_has_one_id_everywhere_and_two_names_have_two() -> None:
+    one, two = Inventory((), ()), Inventory((), ())
+    names = [{**ENTRY, "name": f"s-{n}"} for n in range(50)]
+    one.take({"index": 1, "snapshot": True, "endpoints": names})
+    two.take({"index": 9, "snapshot": True, "endpoints": names[::-1]})
+    ids = [one.find(entry["name"]) for entry in names]
+    assert ids == [two.find(entry["name"]) for entry in names]
+    assert len(set(ids)) == 50 and all(number and 0 < number < 1 << 48 for number in ids)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,6 +17,9 @@
 OPEN = b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=live-text,d=%d,g=5c0f6e1a2b3d4c59\r\n"
 
 
+# A stand-in's socket closes when nothing names it any more: what must stay open is kept in a name.
+
+
 def first_of(servers: list[Server]) -> tuple[Server, Peer]:
     """The transcriber that a relay came to, and the relay."""
     ready = select.select([server.socket for server in servers], [], [], WAIT_S)[0]
@@ -171,8 +174,8 @@
     assert client.line() == b"MOVE\r\n" and client.ending() == "end" and relay.ending() == "end"
     other = world.servers[1 - world.servers.index(first)]
     clients = [node.client(OPEN % 3000) for _ in range(8)]
-    for _ in clients:
-        assert other.accept().line().startswith(b"OPEN ")
+    relays = [other.accept() for _ in clients]
+    assert all(relay.line().startswith(b"OPEN ") for relay in relays)
     assert not first.asked()
 
 
@@ -250,3 +253,42 @@
     env = {**os.environ, "GW_CONFIG": str(path), "GW_EDGE": str(path.with_name("edge.toml"))}
     ended = subprocess.run([sys.executable, "-m", "puffinpost"], cwd=ROOT, env=env, capture_output=True)
     assert ended.returncode == 2 and names in ended.stderr.decode() and ended.stderr.count(b"\n") == 1
+
+
+@pytest.mark.parametrize("form", ["chunked", "to the end", "bytes", "503", "garbage", "not a list"])
+def test_discovery_is_understood_in_any_form_and_asked_again_when_not(world: World, form: str) -> None:
+    """The list names a transcriber that `known` does not: only an answer that was understood can serve."""
+    world.discovery.form = form
+    node = world.start(transcribers=1)
+    world.discovery.wait_calls(1)
+    world.discovery.tell("s-1", world.servers[1].address)
+    world.discovery.tell("s-0", world.servers[0].address, "draining")
+    until = time.monotonic() + WAIT_S
+    if form in ("503", "garbage", "not a list"):
+        world.discovery.wait_calls(2)
+        world.discovery.form = ""
+        world.discovery.wait_calls(3)
+    kept: list[Peer] = []
+    while time.monotonic() < until:
+        kept.append(node.client(OPEN % 3000))
+        server, relay = first_of(world.servers)
+        kept.append(relay)
+        if server is world.servers[1]:  # one that came to the other is withdrawn when the drain is told
+            assert relay.line().startswith(b"OPEN ")
+            return
+    raise AssertionError("what discovery told was never acted on")
+
+
+def test_a_client_that_does_not_read_slows_its_transcriber_and_nobody_else(world: World) -> None:
+    node = world.start()
+    client = node.client(OPEN % 3000)
+    relay = served(world, client)
+    relay.socket.settimeout(0.5)
+    line, sent = b"x" * 4000 + b"\r\n", 0
+    with pytest.raises(TimeoutError):
+        while sent < 200_000_000:  # far more than the kernel and a bounded buffer take together
+            relay.send(line)
+            sent += len(line)
+    other = node.client(b"PING\r\n")
+    assert other.line() == b"PONG\r\n"
+    assert client.line() == line
