--- a/puffinpost/__main__.py
+++ b/puffinpost/__main__.py
@@ -125,12 +125,19 @@
             log.say(f"{self.config.name} listens on {listener.address[0]}:{listener.address[1]}")
         return listeners
 
+    def _say_counts(self) -> None:
+        log.say(f"counts: {self.counters.text()}")
+
+    def _say_counts_again(self) -> None:
+        self._say_counts()
+        asyncio.get_running_loop().call_later(self.config.counts_every_s, self._say_counts_again)
+
     async def run(self) -> None:
         """Serves until SIGTERM, then leaves in order."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.stop.set)
         loop.add_signal_handler(signal.SIGINT, self.stop.set)
-        loop.add_signal_handler(signal.SIGUSR1, lambda: log.say(f"counts: {self.counters.text()}"))
+        loop.add_signal_handler(signal.SIGUSR1, self._say_counts)
         if self.config.known:
             try:
                 self.core.inventory_told(self.config.known, cached=True)
@@ -140,6 +147,8 @@
             # Nothing can be served yet, but the decisions have to be woken to ask for a list.
             self.core.inventory_failed()
         listeners = self._listen()
+        if self.config.counts_every_s:
+            loop.call_later(self.config.counts_every_s, self._say_counts_again)
         await self.stop.wait()
         await self._leave(listeners)
         if self.flows is not None:
--- a/puffinpost/config.py
+++ b/puffinpost/config.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import os
+import resource
 import ssl
 import tomllib
 from collections.abc import Mapping
@@ -67,6 +68,7 @@
     known: dict[str, Any] = field(default_factory=dict)
     xmpp: XmppConfig | None = None
     flows: FlowsConfig | None = None
+    counts_every_s: int = 0
 
 
 def flatten(value: Any, path: str = "") -> list[str]:
@@ -126,10 +128,15 @@
     except ValueError:
         raise ConfigError(f"seed: {told['seed']!r} is not a hexadecimal number") from None
     sockets = _of(_of(told, "limits", dict, {}), "sockets", int, 1024)
+    # Guards against a system that allows less than the platform says.
+    sockets = min(sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
     if sockets < 16:
         raise ConfigError(f"limits.sockets: {sockets} leaves no room for connections")
     edge = _Table(_load_edge(environ), "")
     xmpp, flows = _xmpp(edge.table_of("xmpp")), _flows(edge.table_of("ipfix"))
+    counters = edge.table_of("counters")
+    counts_every_s = counters.whole("every_s", 0, 0, 86400)
+    counters.done()
     edge.done()
     return Config(
         name=text("GW_NAME", "name"),
@@ -144,6 +151,7 @@
         known=_of(told, "known", dict, {}),
         xmpp=xmpp,
         flows=flows,
+        counts_every_s=counts_every_s,
     )
 
 
--- a/puffinpost/core.py
+++ b/puffinpost/core.py
@@ -292,6 +292,7 @@
     def load(self, relay: Relay, us_per_s: float) -> None:
         """The transcriber tells the connection's load."""
         if not relay.over and relay.exchange.standing:
+            self.counters.add("load_notes")
             self._give(lambda: api.LoadNote(relay.exchange.number, int(us_per_s * 1000)))
 
     def line_south(self, relay: Relay, size: int, echo: bool) -> None:
@@ -309,6 +310,7 @@
             self._noted[relay.server] = now
         elif self._noted.pop(relay.server, None) is None:
             return
+        self.counters.add("delay_notes")
         self._give(lambda: api.DelayNote(exchange.number, relay.server, delay))
 
     # --- leaving ------------------------------------------------------------------------------------
--- a/puffinpost/counters.py
+++ b/puffinpost/counters.py
@@ -1,4 +1,4 @@
-"""Counts of what the node takes in, sends and answers. Printed at exit and on SIGUSR1."""
+"""Counts of what the node takes in, sends and answers: at exit, on SIGUSR1, and as often as is set."""
 
 from __future__ import annotations
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import time
+from pathlib import Path
 
 import pytest
 from conftest import World
@@ -243,6 +244,14 @@
     assert node.process.wait(WAIT_S) == 0
 
 
+def refusal(folder: Path) -> str:
+    """The one line with which the program refuses to start."""
+    env = {**os.environ, "GW_CONFIG": str(folder / "config.json"), "GW_EDGE": str(folder / "edge.toml")}
+    ended = subprocess.run([sys.executable, "-m", "puffinpost"], cwd=ROOT, env=env, capture_output=True)
+    assert ended.returncode == 2 and ended.stderr.count(b"\n") == 1
+    return ended.stderr.decode()
+
+
 @pytest.mark.parametrize(("change", "names"), [
     ({"listen": "nowhere"}, "listen"), ({"settings": {}}, "Classes.count"), ({"seed": "x!"}, "seed"),
     ({"limits": {"sockets": "many"}}, "sockets"), ({"known": {"index": 1}}, "known"),
@@ -250,9 +259,7 @@
 def test_a_wrong_configuration_is_named(world: World, change: dict[str, object], names: str) -> None:
     path = world.start().folder / "config.json"
     path.write_text(json.dumps({**json.loads(path.read_text()), **change}))
-    env = {**os.environ, "GW_CONFIG": str(path), "GW_EDGE": str(path.with_name("edge.toml"))}
-    ended = subprocess.run([sys.executable, "-m", "puffinpost"], cwd=ROOT, env=env, capture_output=True)
-    assert ended.returncode == 2 and names in ended.stderr.decode() and ended.stderr.count(b"\n") == 1
+    assert names in refusal(world.folder)
 
 
 @pytest.mark.parametrize("form", ["chunked", "to the end", "bytes", "503", "garbage", "not a list"])
@@ -292,3 +299,20 @@
     other = node.client(b"PING\r\n")
     assert other.line() == b"PONG\r\n"
     assert client.line() == line
+
+
+@pytest.mark.parametrize(("edge", "names"), [
+    ("[counters]\nevery_s = 'x'\n", "counters.every_s"), ("[xmpp]\nlisten = 'x'\n", "xmpp.listen"),
+    ("[xmpp]\nlimit = 1\n", "xmpp.limit"), ("[xmpp]\nstanza_limit = 1\n", "xmpp.stanza_limit"),
+    ("[xmpp]\nlisten = '127.0.0.1:1'\nrequire_tls = true\n", "xmpp.certificate"),
+    ("[xmpp.transcribers]\nmechanism = 'PLAIN'\n", "xmpp.transcribers.tls"), ("[flows]\n", "flows"),
+    ("x", "edge"),
+])
+def test_a_wrong_edge_file_is_named(world: World, edge: str, names: str) -> None:
+    world.start()
+    (world.folder / "edge.toml").write_text(edge)
+    assert names in refusal(world.folder)
+
+
+def test_the_counters_are_printed_as_often_as_is_set(world: World) -> None:
+    world.start(edge="[counters]\nevery_s = 1\n").wait_log("counts: ", 2)
