Keep the node up until the last comer's answer is due after SIGTERM

Seen by reading: clients come for up to 0.4 s after SIGTERM with 4.8 s to wait, but the node left after the longest deadline, before the last of these were due. Checked: the new test (a client that comes after SIGTERM has its whole time) fails with the old end and passes with the new; SIGKILL comes 0.7 s after that deadline at the earliest, the node now ends by 0.44 s after it. Whatever still waits then is answered by the core (dismiss). __main__.py: LAST_ANSWERS_S; core.py: dismiss. net/discovery.py: a watch that is cancelled at the exit is no failed call.

--- a/puffinpost/__main__.py
+++ b/puffinpost/__main__.py
@@ -29,6 +29,7 @@
 STILL_COMING_S = 0.5
 MOVES_OVER_S = 1.5
 LEAST_DEADLINE_S = 3.0
+LAST_ANSWERS_S = 0.42  # for those that came last; what is left until SIGKILL is for the way out
 TICK_S = 0.02
 SPARE_DESCRIPTORS = 48  # for probes, discovery, the collector, and clients to be answered
 
@@ -159,7 +160,7 @@
         """Answers what still comes, moves what stands, and ends before it would be killed."""
         longest = max(item.deadline_ns for item in self.config.settings.classes) / 1e9
         began = time.monotonic()
-        end = began + max(longest, LEAST_DEADLINE_S)
+        end = began + max(longest, LEAST_DEADLINE_S) + LAST_ANSWERS_S
         self.front.leaving = True
         await asyncio.sleep(STILL_COMING_S)
         for listener in listeners:
@@ -179,8 +180,9 @@
                 if not self.core.exchanges:
                     break
             await asyncio.sleep(TICK_S)
-        for exchange in self.core.standing():
+        for exchange in list(self.core.exchanges.values()):
             self.core.move(exchange)
+            self.core.dismiss(exchange)
         if self.xmpp is not None:
             self.xmpp.shut_down()
         await asyncio.sleep(TICK_S)
--- a/puffinpost/core.py
+++ b/puffinpost/core.py
@@ -327,6 +327,11 @@
             exchange.north.move()
             self._close(relay, result)
 
+    def dismiss(self, exchange: Exchange) -> None:
+        """The node ends: what waits is answered by the core itself, truly about whether it may have run."""
+        safe = self.settings.classes[exchange.message.klass].effect is api.Effect.SAFE
+        self._answer(exchange.number, "refused" if safe else "failed", 0)
+
     # --- within -------------------------------------------------------------------------------------
 
     def _give(self, event: Callable[[], api.Event]) -> None:
--- a/puffinpost/net/discovery.py
+++ b/puffinpost/net/discovery.py
@@ -35,6 +35,11 @@
             self._task = asyncio.get_running_loop().create_task(self._run())
 
     async def _run(self) -> None:
+        await self._watch()
+        self._task = None
+        self.failed()
+
+    async def _watch(self) -> None:
         link = await dial(self.address, CONNECT_S)
         try:
             if link is None:
@@ -60,8 +65,6 @@
         finally:
             if link is not None:
                 link.close()
-            self._task = None
-            self.failed()
 
     async def _call(self, stream: IOStream, request: bytes) -> http.Reply:
         await stream.write(request)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -244,6 +244,22 @@
     assert node.process.wait(WAIT_S) == 0
 
 
+def test_a_client_that_comes_after_sigterm_has_its_whole_time(world: World) -> None:
+    """Guards against an exit before the last answer is due: clients come for up to 0.4 s more."""
+    node = world.start()
+    standing = node.client(OPEN % 3000)
+    relay = served(world, standing)
+    began = time.monotonic()
+    node.process.terminate()
+    while time.monotonic() - began < 0.35:
+        select.select([], [], [], 0.01)
+    late = node.client(OPEN % 3000)
+    relays = [first_of(world.servers)[1]]  # and all are silent
+    assert late.line().startswith(b"BUSY") and late.ending() == "end"
+    assert node.process.wait(WAIT_S) == 0 and time.monotonic() - began < 3.7
+    assert standing.line() == b"MOVE\r\n" and [it.ending() for it in (relay, *relays)] == ["end", "end"]
+
+
 def refusal(folder: Path) -> str:
     """The one line with which the program refuses to start."""
     env = {**os.environ, "GW_CONFIG": str(folder / "config.json"), "GW_EDGE": str(folder / "edge.toml")}
