XMPP: a flow's record names the port that the relay really went to

Seen by reading: where transcribers have an XMPP port of their own, the flow kept the one of the inventory. fronts/xmpp.py: the exchange's address follows the relay's. A test lets a relay come up at that port.

--- a/puffinpost/fronts/xmpp.py
+++ b/puffinpost/fronts/xmpp.py
@@ -302,7 +302,7 @@
         self.config = session.front.config
         self.relay = relay
         if self.config.port:
-            relay.address = relay.address[0], self.config.port
+            relay.address = relay.exchange.at = relay.address[0], self.config.port
         self.asked = asked
         self.link: Link | None = None
         self.stream = ClientStream(self, self.config.client)
--- a/tests/test_xmpp.py
+++ b/tests/test_xmpp.py
@@ -309,3 +309,11 @@
     assert second is not first
     answer(again, transcriber(again), UP)
     assert SESSION.encode() in client.until(b"</iq>")
+
+
+def test_transcribers_may_listen_for_xmpp_on_a_port_of_their_own(world: World) -> None:
+    listed, meant = world.servers
+    client, _ = XmppWorld(world, port=meant.port, transcribers=1).client()
+    client.send(opening(3000))
+    served(world.servers, client, (meant, meant.accept()))
+    assert not listed.asked()
--- a/tests/xmpp_standins.py
+++ b/tests/xmpp_standins.py
@@ -36,7 +36,9 @@
 class XmppWorld:
     """A world whose node has the XMPP front on."""
 
-    def __init__(self, world: World, south_tls: bool = False, more: str = "", **kinds: Any) -> None:
+    def __init__(
+        self, world: World, south_tls: bool = False, more: str = "", port: int = 0, **kinds: Any
+    ) -> None:
         self.world = world
         self.port = free_port()
         (world.folder / "users.toml").write_text('ada = "lovelace"\n')
@@ -49,7 +51,7 @@
             f'[xmpp]\nlisten = "127.0.0.1:{self.port}"\ndomain = "{DOMAIN}"\ncertificate = "{CERTIFICATE}"\n'
             f'key = "{KEY}"\nca = "{CERTIFICATE}"\nusers = "{world.folder / "users.toml"}"\n'
             f'mechanisms = ["PLAIN", "EXTERNAL", "ANONYMOUS"]\n{more}'
-            f'[xmpp.transcribers]\ndomain = "{SOUTH}"\n{south}'
+            f'[xmpp.transcribers]\ndomain = "{SOUTH}"\nport = {port}\n{south}'
         )
         self.node: Node = world.start(edge=edge, **kinds)
 
