SIGHUP reads the configuration again instead of ending the node

Both nodes exited with 129 at the first SIGHUP, and 36 connections that stood were cut off with them. Nothing in __main__.py handled the signal, so it had the system's default.

Changed: `config.reload` reads the file again. A `discovery` that is new in the file goes before GW_DISCOVERY, whose value cannot change in a process that runs. A bad file is named and changes nothing; keys that need a restart are named. `Watch.redirect` drops the call that is out and asks the new address at once, for the whole list: its version numbers are its own, and a list that counts lower would be waited for in vain. The same holds after any failed call. A call given up while it connects frees its descriptor.

Tested: tests/test_reload.py, with a second discovery that counts lower, one that is late, bad files, and keys that cannot change.

--- a/puffinpost/__main__.py
+++ b/puffinpost/__main__.py
@@ -126,6 +126,20 @@
             log.say(f"{self.config.name} listens on {listener.address[0]}:{listener.address[1]}")
         return listeners
 
+    def _reload(self) -> None:
+        """SIGHUP: the file is read again. What was learned, and whoever is connected, stays."""
+        self.counters.add("reloads")
+        try:
+            self.config, waits = config.reload(self.config)
+        except config.ConfigError as problem:
+            self.counters.add("reloads_refused")
+            log.say(f"reload: {problem}; what was in force stays")
+            return
+        host, port = self.config.discovery
+        waiting = f"; cannot change while running: {', '.join(waits)}" if waits else ""
+        log.say(f"reload: discovery at {host}:{port}{waiting}")
+        self.watch.redirect(self.config.discovery)
+
     def _say_counts(self) -> None:
         log.say(f"counts: {self.counters.text()}")
 
@@ -138,6 +152,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.stop.set)
         loop.add_signal_handler(signal.SIGINT, self.stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         loop.add_signal_handler(signal.SIGUSR1, self._say_counts)
         if self.config.known:
             try:
--- a/puffinpost/config.py
+++ b/puffinpost/config.py
@@ -12,7 +12,7 @@
 import ssl
 import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -65,6 +65,7 @@
     zones: tuple[str, ...]
     kinds: tuple[str, ...]
     sockets: int
+    discovery_in_file: str = ""  # as the file has it, whatever the environment says
     known: dict[str, Any] = field(default_factory=dict)
     xmpp: XmppConfig | None = None
     flows: FlowsConfig | None = None
@@ -148,6 +149,7 @@
         zones=tuple(str(item) for item in raw.get("Dcs", [])),
         kinds=tuple(str(item) for item in raw.get("Kinds", [])),
         sockets=sockets,
+        discovery_in_file=str(told.get("discovery", "")),
         known=_of(told, "known", dict, {}),
         xmpp=xmpp,
         flows=flows,
@@ -155,6 +157,25 @@
     )
 
 
+def reload(now: Config, environ: Mapping[str, str] = os.environ) -> tuple[Config, list[str]]:
+    """What is in force once the file is read again, and the keys of what is new but waits for a restart.
+
+    The environment of a process stays what it was, so a `discovery` that is new in the file goes before
+    ``GW_DISCOVERY``. Nothing else changes in a node that runs. Raises ``ConfigError``.
+    """
+    read = load(environ)
+    discovery = now.discovery
+    if read.discovery_in_file != now.discovery_in_file:
+        try:
+            discovery = parse_address(read.discovery_in_file)
+        except ValueError as problem:
+            raise ConfigError(f"discovery: {problem}") from None
+    # `known` and the seed are for a start: the node has had better news, and more chance, since.
+    fixed = ("name", "listen", "settings", "classes", "zones", "kinds", "sockets", "flows", "counts_every_s")
+    waits = [name for name in fixed if getattr(read, name) != getattr(now, name)]
+    return replace(now, discovery=discovery, discovery_in_file=read.discovery_in_file), waits
+
+
 def _of(table: dict[str, Any], key: str, kind: type, default: Any) -> Any:
     value = table.get(key, default)
     if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
--- a/puffinpost/net/discovery.py
+++ b/puffinpost/net/discovery.py
@@ -1,4 +1,4 @@
-"""Watches discovery: one long poll after another on one connection."""
+"""Watches discovery: one long poll after another on one connection, at the address that is in force."""
 
 from __future__ import annotations
 
@@ -27,6 +27,9 @@
         self.index = index
         self.told = told
         self.failed = failed
+        # Guards against a discovery that counts anew, or that another one has taken the place of: what is
+        # newer than a version of the old one's would be waited for in vain. The whole list starts over.
+        self._whole = False
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -34,9 +37,21 @@
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._run())
 
+    def redirect(self, address: tuple[str, int]) -> None:
+        """Leaves an address for another, which is asked at once and for the whole list.
+
+        The call that was out is dropped unanswered: what it would have told, the list holds.
+        """
+        if address != self.address:
+            self.address, self._whole = address, True
+            if self._task is not None:
+                self._task.cancel()
+                self._task = None
+        self.start()
+
     async def _run(self) -> None:
         await self._watch()
-        self._task = None
+        self._task, self._whole = None, True
         self.failed()
 
     async def _watch(self) -> None:
@@ -46,13 +61,15 @@
                 log.say("discovery: no connection")
                 return
             while True:
-                path = f"/api/targets?after={self.index()}&wait_ms={WAIT_MS}"
+                wait_ms = 0 if self._whole else WAIT_MS
+                path = "/api/targets" + (f"?after={self.index()}&wait_ms={wait_ms}" if wait_ms else "")
                 call = self._call(link.stream, http.get(path, f"{self.address[0]}:{self.address[1]}"))
-                reply = await asyncio.wait_for(call, WAIT_MS / 1000 + OVERTIME_S)
+                reply = await asyncio.wait_for(call, wait_ms / 1000 + OVERTIME_S)
                 if reply.status != 200:
                     log.say(f"discovery: status {reply.status}")
                     return
                 self.told(inventory.parse(reply.body))
+                self._whole = False
                 if not reply.keep:
                     link.close()
                     link = await dial(self.address, CONNECT_S)
--- a/puffinpost/net/link.py
+++ b/puffinpost/net/link.py
@@ -181,6 +181,9 @@
     except (TimeoutError, StreamClosedError, OSError):
         link.close()
         return False
+    except asyncio.CancelledError:
+        link.close()  # guards the descriptor of a call that is given up while it connects
+        raise
 
 
 async def dial(address: tuple[str, int], timeout_s: float) -> Link | None:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -103,6 +103,7 @@
         self.index = 0
         self.changed = threading.Condition()
         self.calls = 0
+        self.asked: list[int] = []  # the version that each call was after; -1 where it asked for all
         self.form = ""  # of the replies
         self.links: list[socket.socket] = []
         threading.Thread(target=self._listen, daemon=True).start()
@@ -147,9 +148,10 @@
         with contextlib.suppress(EOFError, OSError):
             while True:
                 request = peer.until(b"\r\n\r\n").decode()
-                after = int(request.split("after=")[1].split("&")[0])
+                after = int(request.split("after=")[1].split("&")[0]) if "after=" in request else -1
                 with self.changed:
                     self.calls += 1
+                    self.asked.append(after)
                     self.changed.notify_all()
                     self.changed.wait_for(lambda: self.index > after, 20)  # noqa: B023
                     body = json.dumps(self.told()).encode()
@@ -182,7 +184,7 @@
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "puffinpost"], cwd=ROOT, stderr=log,
                 env={**os.environ, "GW_CONFIG": str(folder / "config.json"),
-                     "GW_EDGE": str(folder / "edge.toml")},
+                     "GW_DISCOVERY": discovery.server.address, "GW_EDGE": str(folder / "edge.toml")},
             )
         self.wait_log("listens on", 1 + edge.count("listen ="))
 
@@ -205,6 +207,14 @@
         said = self.log.read_text().rsplit("counts: ", 1)[1].split("\n")[0]
         return {name: int(count) for name, count in (item.split("=") for item in said.split())}
 
+    def reload(self, text: str | None = None, **changes: Any) -> None:
+        """Replaces the configuration file, or some keys of it, and has it read again."""
+        path = self.folder / "config.json"
+        before = self.log.read_text().count("reload: ")
+        path.write_text(text if text is not None else json.dumps({**json.loads(path.read_text()), **changes}))
+        self.process.send_signal(signal.SIGHUP)
+        self.wait_log("reload: ", before + 1)
+
     def stop(self) -> int:
         self.process.send_signal(signal.SIGTERM)
         return self.process.wait(WAIT_S)
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,79 @@
+"""SIGHUP: the configuration is read again, and whoever is connected does not notice."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+from conftest import World
+from standins import Discovery, Peer
+from test_node import OPEN, first_of, served
+
+
+def moved(client: Peer) -> bool:
+    return client.line() == b"MOVE\r\n" and client.ending() == "end"
+
+
+def test_a_new_discovery_is_asked_at_once_and_the_old_one_left(world: World) -> None:
+    """The new one counts from the start again, so its list is asked for whole."""
+    world.discovery.index = 40
+    node = world.start()
+    client = node.client(OPEN % 3000)
+    first, relay = first_of(world.servers)
+    relay.line()
+    relay.send(b"UP 1\r\n")
+    assert client.line() == b"UP 1\r\n"
+    world.discovery.wait_calls(1)
+    old = Peer(world.discovery.links[0])
+    successor = Discovery()
+    for number, server in enumerate(world.servers):
+        successor.tell(f"s-{number}", server.address)
+    began = time.monotonic()
+    node.reload(discovery=successor.server.address)
+    successor.wait_calls(2)  # the whole list, and the watch that goes on from there
+    assert time.monotonic() - began < 1 and successor.asked[:2] == [-1, 2]
+    assert old.ending() == "end"
+    node.reload()  # once more, with nothing new: the watch goes on
+    client.send(b"still here\r\n")
+    assert relay.line() == b"still here\r\n"
+    successor.tell(f"s-{world.servers.index(first)}", first.address, "draining")
+    assert moved(client)
+    assert successor.asked == [-1, 2, 3] and world.discovery.calls == 1
+    assert node.counts()["reloads"] == 2
+
+
+def test_a_discovery_that_comes_late_is_asked_until_it_answers(world: World) -> None:
+    node = world.start()
+    successor = Discovery()
+    successor.form = "503"
+    successor.tell("s-0", world.servers[0].address)
+    node.reload(discovery=successor.server.address)
+    successor.wait_calls(2)
+    successor.form = ""
+    successor.wait_calls(4)
+    assert set(successor.asked[:3]) == {-1} and successor.asked[-1] == 1
+
+
+@pytest.mark.parametrize(("text", "names"), [
+    ("{", "GW_CONFIG"), ("[]", "GW_CONFIG"), ('{"settings": {}}', "Classes.count"),
+])
+def test_a_bad_file_is_named_and_the_old_one_stays_in_force(world: World, text: str, names: str) -> None:
+    node = world.start()
+    client = node.client(OPEN % 3000)
+    relay = served(world, client)
+    world.discovery.wait_calls(1)
+    node.reload(text)
+    assert names in node.log.read_text().rsplit("reload: ", 1)[1]
+    for number, server in enumerate(world.servers):
+        world.discovery.tell(f"s-{number}", server.address, "draining")
+    assert moved(client) and relay.ending() == "end"
+
+
+def test_what_cannot_change_is_named(world: World) -> None:
+    node = world.start()
+    node.reload(limits={"sockets": 500}, name="other", discovery="nowhere")
+    assert "discovery" in node.log.read_text().rsplit("reload: ", 1)[1]
+    node.reload(discovery=world.discovery.server.address)
+    said = node.log.read_text().rsplit("reload: ", 1)[1]
+    assert "cannot change while running: name, sockets" in said
+    assert node.process.poll() is None and node.stop() == 0
