Answer silent and rude clients in time, and keep their hands off others' places

From second 5 to 15 usual clients needed 5 to 10 tries, with hardly any relay: all 668 descriptors were taken. 918 connections sent no whole request and 1152 stayed after their answer; each counted as a session of two descriptors (`_has_room` in __main__.py took len(front.sessions)) until it left by itself, and platform.py had no time limit at all. 215 requests of bad clients came to transcribers.

Changed: - net/places.py, shared by both fronts: newcomers have 2 s for a first line (a dripped one too), an answered PING may stay, a session counts two, and the oldest of the least needed go when room is short. Where nobody can go yet the listener pauses instead of failing in accept or spinning. - net/link.py: after its last word a client's connection stops sending and discards what comes, within 256 KiB and 1 s. A close on unread input is a reset. Reads yield after each full chunk; buffers have smaller bounds. - protocol/lines.py: a first line is plain characters and CRLF, id and key are 1 to 16 hexadecimal digits, no value is empty; d has a bound. - core.py: an id whose message has not ended raises DuplicateError. - A second OPEN behind the first is an error; lines held before UP are one buffer of 8 KiB, where their lengths were summed anew for each line.

Ruled out: the bound on d for inherited connections.

--- a/puffinpost/__main__.py
+++ b/puffinpost/__main__.py
@@ -21,6 +21,7 @@
 from puffinpost.net.flows import FlowSink
 from puffinpost.net.link import Link, Receiver
 from puffinpost.net.listener import Listener
+from puffinpost.net.places import Places
 from puffinpost.net.probes import Prober
 from puffinpost.net.south import Dialler
 
@@ -31,7 +32,6 @@
 LEAST_DEADLINE_S = 3.0
 LAST_ANSWERS_S = 0.42  # for those that came last; what is left until SIGKILL is for the way out
 TICK_S = 0.02
-SPARE_DESCRIPTORS = 48  # for probes, discovery, the collector, and clients to be answered
 
 
 class LoopClock:
@@ -72,9 +72,10 @@
             told.discovery, lambda: self.inventory.index, self._told, self.core.inventory_failed
         )
         dialler = Dialler(self.core)
-        self.front = PlatformFront(self.core, told.classes, dialler, self._has_room)
+        self.places = Places(told.sockets, self.counters, asyncio.get_running_loop().call_later)
+        self.front = PlatformFront(self.core, told.classes, dialler, self.places)
         self.xmpp = (
-            XmppFront(self.core, told.xmpp, told.classes, dialler, self._has_room) if told.xmpp else None
+            XmppFront(self.core, told.xmpp, told.classes, dialler, self.places) if told.xmpp else None
         )
         self.flows = FlowSink(told.flows, told.classes, self.counters) if told.flows else None
         if self.flows is not None:
@@ -103,11 +104,6 @@
         self.core.inventory_told(answer)
         self.prober.forget(self.inventory.takes_work)
 
-    def _has_room(self) -> bool:
-        """Whether one more session may be had: it needs two descriptors, and some stay free."""
-        sessions = len(self.front.sessions) + (len(self.xmpp.sessions) if self.xmpp else 0)
-        return 2 * sessions + SPARE_DESCRIPTORS <= self.config.sockets
-
     def _serve(self, link: Link, receiver: Receiver) -> None:
         task = asyncio.get_running_loop().create_task(link.run(receiver))
         self.tasks.add(task)
@@ -115,15 +111,18 @@
 
     def _listen(self) -> list[Listener]:
         front, xmpp = self.front, self.xmpp
-        listeners = [
-            Listener(self.config.listen, lambda link: self._serve(link, front.accept(link)), front.turn_away)
-        ]
+        listeners = [Listener(
+            self.config.listen, self.places, lambda link: self._serve(link, front.accept(link)),
+            front.turn_away,
+        )]
         if xmpp is not None:
             listeners.append(Listener(
-                xmpp.config.listen, lambda link: self._serve(link, xmpp.accept(link)), xmpp.turn_away
+                xmpp.config.listen, self.places, lambda link: self._serve(link, xmpp.accept(link)),
+                xmpp.turn_away,
             ))
         for listener in listeners:
-            log.say(f"{self.config.name} listens on {listener.address[0]}:{listener.address[1]}")
+            log.say(f"{self.config.name} listens on {listener.address[0]}:{listener.address[1]}, "
+                    f"with {self.config.sockets} descriptors")
         return listeners
 
     def _reload(self) -> None:
@@ -201,6 +200,8 @@
         if self.xmpp is not None:
             self.xmpp.shut_down()
         await asyncio.sleep(TICK_S)
+        while self.places.leaving and time.monotonic() < end:
+            await asyncio.sleep(TICK_S)  # an exit would reset those that have not read their last word
 
 
 async def _main() -> None:
--- a/puffinpost/config.py
+++ b/puffinpost/config.py
@@ -25,6 +25,9 @@
 from puffinpost.wire import parse_settings
 
 Address = tuple[str, int]
+# What the node itself holds: three standard streams, the loop's three, a listener and a spare each front, a
+# connection each to discovery, the collector and the transcribers that are probed.
+OWN_SOCKETS = 32
 EDGE_FILE = Path(__file__).parent.parent / "deploy" / "edge.toml"
 
 
@@ -131,7 +134,7 @@
     sockets = _of(_of(told, "limits", dict, {}), "sockets", int, 1024)
     # Guards against a system that allows less than the platform says.
     sockets = min(sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-    if sockets < 16:
+    if sockets < OWN_SOCKETS + 8:
         raise ConfigError(f"limits.sockets: {sockets} leaves no room for connections")
     edge = _Table(_load_edge(environ), "")
     xmpp, flows = _xmpp(edge.table_of("xmpp")), _flows(edge.table_of("ipfix"))
--- a/puffinpost/core.py
+++ b/puffinpost/core.py
@@ -32,6 +32,12 @@
 SWEEP_NS = 250 * MS
 DELAY_NOTE_NS = 1000 * MS
 MOST_ECHOES = 64
+# A client that names a longer wait than this is taken to be wrong: no class of ours waits for minutes.
+LONGEST_WAIT_MS = 600_000
+
+
+class DuplicateError(ValueError):
+    """A message has the id of another one that has not ended."""
 
 
 class Clock(Protocol):
@@ -91,6 +97,7 @@
     retry: bool = False
     returning: bool = False
     source: tuple[str, int] = ("0.0.0.0", 0)  # where the client is, for the books
+    ident: int | None = None  # the client's id for it, where its protocol has one
 
 
 class Relay:
@@ -162,6 +169,7 @@
         self.counters = counters
         self.balancer = Balancer(settings, seed)
         self.exchanges: dict[int, Exchange] = {}
+        self._idents: set[int] = set()  # of messages that have not ended
         self.on_end: list[Callable[[Ended], None]] = []
         self.able = False
         self._numbers = 0
@@ -194,7 +202,7 @@
     # --- the north side -----------------------------------------------------------------------------
 
     def open(self, message: Message, north: North) -> Exchange:
-        """A client asks. Its answer may be given before this returns."""
+        """A client asks. Its answer may be given before this returns. Raises ``DuplicateError``."""
         exchange = self._new(message, north)
         exchange.guard = self.clock.call_later(
             exchange.deadline_ns + GUARD_NS - exchange.came_ns, lambda: self._overdue(exchange)
@@ -210,6 +218,14 @@
         return exchange
 
     def _new(self, message: Message, north: North) -> Exchange:
+        ident = message.ident
+        if ident is not None:
+            # Guards against a second relay for an id that is out: which of the two a transcriber's answer
+            # is for, nobody could tell.
+            if ident in self._idents:
+                self.counters.add("duplicates")
+                raise DuplicateError("the id is that of a message that has not ended")
+            self._idents.add(ident)
         self._numbers += 1
         exchange = self.exchanges[self._numbers] = Exchange(self._numbers, message, north, self.clock.now())
         self.counters.add("messages")
@@ -227,10 +243,10 @@
             self._give(lambda: api.ClientGone(exchange.number))
         self._close(exchange.relay, api.Result.CANCELLED)
 
-    def line_north(self, exchange: Exchange, size: int) -> None:
-        """A line of the client's went on to its transcriber."""
+    def line_north(self, exchange: Exchange, size: int, count: int = 1) -> None:
+        """Lines of the client's went on to its transcriber."""
         exchange.octets_north += size
-        exchange.sent.append(self.clock.now())
+        exchange.sent.extend([self.clock.now()] * min(count, MOST_ECHOES))
 
     # --- relays -------------------------------------------------------------------------------------
 
@@ -287,7 +303,7 @@
                 exchange.number, relay.number, relay.server, result, exchange.answered, took, report
             ))
         if exchange.answered:
-            self.exchanges.pop(exchange.number, None)
+            self._forget(exchange)
 
     def load(self, relay: Relay, us_per_s: float) -> None:
         """The transcriber tells the connection's load."""
@@ -436,7 +452,7 @@
             exchange.north.refuse(pause_ns)
         else:
             exchange.north.fail(self.clock.now() >= exchange.deadline_ns)
-        self.exchanges.pop(request, None)
+        self._forget(exchange)
 
     def _overdue(self, exchange: Exchange) -> None:
         if exchange.answered or exchange.standing:
@@ -452,11 +468,15 @@
         self.clock.cancel(exchange.guard)
         self.counters.add(answer)
         if exchange.relay is None:
-            self.exchanges.pop(exchange.number, None)
+            self._forget(exchange)
         ended = Ended(exchange, answer, result, self.clock.now())
         for call in self.on_end:
             call(ended)
 
+    def _forget(self, exchange: Exchange) -> None:
+        if self.exchanges.pop(exchange.number, None) is not None and exchange.message.ident is not None:
+            self._idents.discard(exchange.message.ident)
+
     def _stop_timer(self, relay: Relay) -> None:
         self.clock.cancel(relay.timer)
         self.clock.cancel(relay.exchange.guard if relay.exchange.answered else None)
--- a/puffinpost/fronts/platform.py
+++ b/puffinpost/fronts/platform.py
@@ -3,53 +3,55 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable
 
 from puffinpost import interface as api
 from puffinpost import log
-from puffinpost.core import Core, Exchange, Message, Relay
+from puffinpost.core import LONGEST_WAIT_MS, Core, DuplicateError, Exchange, Message, Relay
 from puffinpost.net.link import Link
+from puffinpost.net.places import Places
 from puffinpost.net.south import Dialler
 from puffinpost.protocol import lines
 
-MOST_HELD = 64 * 1024  # of a client's lines before its connection stands; then it is not read any more
+MOST_HELD = 8 * 1024  # of a client's lines before its connection stands; then it is not read any more
 PAUSE_MS = 500  # told to clients that come when no descriptor is left for them
-FULL = lines.refusal(PAUSE_MS)
+PING_REST_S = 60.0  # how long a connection that had its PONG may stay before it asks again
 
 
 class PlatformFront:
     """Takes clients in."""
 
     def __init__(self, core: Core, classes: tuple[str, ...], dialler: Dialler,
-                 has_room: Callable[[], bool]) -> None:
+                 places: Places) -> None:
         self.core = core
         self.classes = {name: number for number, name in enumerate(classes)}
         self.dialler = dialler
-        self.has_room = has_room
+        self.places = places
+        self.full = lines.refusal(PAUSE_MS if core.settings.pauses else 0)
         self.groups = core.settings.groups
         self.leaving = False
-        self.sessions: set[Session] = set()
 
     def accept(self, link: Link) -> Session:
         """A client has connected; the caller runs the link with the session."""
         session = Session(self, link)
-        self.sessions.add(session)
+        self.places.enter(session)
         return session
 
-    @staticmethod
-    def turn_away(connection: socket.socket) -> None:
+    def turn_away(self, connection: socket.socket) -> None:
         """Answers a connection for which there was no descriptor but the spare one."""
-        connection.send(FULL)
+        connection.send(self.full)
 
     def message(self, opening: lines.Opening, source: tuple[str, int]) -> Message:
         """A first line in the core's terms. ``LineError`` where its class is unknown."""
         klass = self.classes.get(opening.klass)
         if klass is None:
-            raise lines.LineError(f"class {opening.klass!r} is unknown")
+            raise lines.LineError(f"class {opening.klass[:40]!r} is unknown")
+        # One that stood before the node's start has no such limit: whoever brings it back waits as it likes.
+        if not 0 < opening.wait_ms <= LONGEST_WAIT_MS and opening.at is None:
+            raise lines.LineError(f"d={opening.wait_ms} is no time that a client waits")
         group = opening.group if self.groups else 0
         return Message(
             klass, opening.wait_ms * 1_000_000, opening.key, group, opening.load, opening.retry,
-            opening.returning, source,
+            opening.returning, source, opening.ident,
         )
 
 
@@ -63,9 +65,11 @@
         self.splitter = lines.LineSplitter()
         self.opening: lines.Opening | None = None
         self.exchange: Exchange | None = None
-        self.held: list[bytes] = []
+        self.held = bytearray()  # whole lines that wait for the transcriber, and ...
+        self.held_lines = 0  # ... how many
         self.south: TranscriberSide | None = None
         self.over = False
+        self.rests = False  # it had its PONG, and may stay
 
     # --- what the client does (Receiver) ------------------------------------------------------------
 
@@ -75,35 +79,50 @@
                 if self.over:
                     return
                 self._line(line)
-        except lines.LineError as problem:
+        except (lines.LineError, DuplicateError) as problem:
             self._bad(str(problem))
+            return
+        if self.rests and not self.over and self.splitter.pending:
+            # Guards against a line that is dripped behind a PING: it has a newcomer's time.
+            self.rests = False
+            self.front.places.enter(self)
+
+    def late(self) -> None:
+        """No whole first line came in time. Nothing has run, so to come again is harmless."""
+        self._say(self.front.full)
 
     def _line(self, line: bytes) -> None:
         if self.opening is None:
             if line.rstrip(b"\r\n") == lines.PING:
                 if self.core.able and not self.front.leaving:
                     self.link.write(lines.PONG)
+                    self.rests = True
+                    self.front.places.rest(self, PING_REST_S)
                 return
             self._open(line)
         elif self.exchange is not None and self.exchange.standing and self.south is not None:
             self.south.pass_on(line)
+        elif line.startswith(lines.OPEN):
+            # Guards against commands sent by the hundred: a connection carries one message.
+            raise lines.LineError("a second message before the first has its answer")
         else:
-            self.held.append(line)
-            if sum(map(len, self.held)) > MOST_HELD:
+            self.held += line
+            self.held_lines += 1
+            if len(self.held) > MOST_HELD:
                 self.link.hold(True)
 
     def _open(self, line: bytes) -> None:
         self.opening = opening = lines.parse_opening(line)
         message = self.front.message(opening, self.link.peer)
-        if not self.front.has_room():
-            self._say(FULL)
+        if not self.front.places.ask(self):
+            self._say(self.front.full)
             return
         if opening.at is None:
             self.exchange = self.core.open(message, self)
             return
         server = self.core.inventory.find(opening.at)
         if server is None or server not in self.core.inventory.addresses:
-            raise lines.LineError(f"at={opening.at}: discovery has named no such transcriber")
+            raise lines.LineError(f"at={opening.at[:40]}: discovery has named no such transcriber")
         self.exchange = self.core.inherit(message, server, self)
 
     def _bad(self, problem: str) -> None:
@@ -157,9 +176,9 @@
         assert self.south is not None and self.south.link is not None
         self.link.write(up)
         self.link.sink, self.south.link.sink = self.south.link, self.link
-        held, self.held = self.held, []
-        for line in held:
-            self.south.pass_on(line)
+        if self.held:
+            self.south.pass_on(bytes(self.held), self.held_lines)
+            self.held = bytearray()
         self.link.hold(False)
 
     def _say(self, line: bytes) -> None:
@@ -175,7 +194,7 @@
 
     def _leave(self) -> None:
         self.over = True
-        self.front.sessions.discard(self)
+        self.front.places.left(self)
 
 
 class TranscriberSide:
@@ -196,10 +215,10 @@
     def flushed(self) -> None:
         self.core.written(self.relay)
 
-    def pass_on(self, line: bytes) -> None:
-        """A line of the client's, as it came."""
-        self._write(line)
-        self.core.line_north(self.relay.exchange, len(line))
+    def pass_on(self, data: bytes, count: int = 1) -> None:
+        """Lines of the client's, as they came."""
+        self._write(data)
+        self.core.line_north(self.relay.exchange, len(data), count)
 
     def _write(self, data: bytes) -> None:
         if self.link is not None:
--- a/puffinpost/net/link.py
+++ b/puffinpost/net/link.py
@@ -11,15 +11,17 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
 from tornado.locks import Event
 
 from puffinpost import log
 
-CHUNK = 16 * 1024
-BEHIND = 64 * 1024  # a side that has this much unsent is waited for before more is read for it
-MOST_UNSENT = 1024 * 1024
+# Two sides of a session keep at most BEHIND + CHUNK each, whatever their peers do: a few MB for 100 sessions.
+CHUNK = 8 * 1024
+BEHIND = 16 * 1024  # a side that has this much unsent is waited for before more is read for it
+MOST_READ = 64 * 1024
 LINGER_S = 1.0
+MOST_DISCARDED = 256 * 1024  # read from a client that has its answer already; one that sends more is cut off
 HANDSHAKE_S = 10.0
 
 
@@ -45,16 +47,34 @@
         """An exception got out of ``received``: this connection is to be ended, with its answer."""
 
 
+class Door(Protocol):
+    """What keeps count of clients' connections."""
+
+    def may_enter(self) -> bool:
+        """Whether one more connection may be accepted."""
+
+    def last_word(self, link: Link) -> None:
+        """The client has its last word, and what it still sends is discarded."""
+
+    def gone(self, link: Link) -> None:
+        """The connection is closed."""
+
+
+_OVER = (StreamClosedError, ssl.SSLError, TimeoutError)
+
+
 class Link:
-    """A connected stream."""
+    """A connected stream. One with a door is a client's, which is let read its last word before it ends."""
 
-    def __init__(self, stream: IOStream) -> None:
+    def __init__(self, stream: IOStream, door: Door | None = None) -> None:
         self.stream = stream
+        self.door = door
         self.sink: Link | None = None  # where what comes goes on to
         self.unsent = 0  # bytes that the kernel has not taken yet
         self._open = Event()
         self._open.set()
         self._closing = False
+        self._lingers = False
         self._handshaking = False
         self._upgrade: tuple[Tls, Callable[[str], None]] | None = None
         self.peer = ("0.0.0.0", 0)
@@ -68,26 +88,58 @@
     async def run(self, receiver: Receiver) -> None:
         """Reads until the connection is over."""
         try:
-            while not self._closing:
-                if not self._open.is_set():
-                    await self._open.wait()
-                data = await self.stream.read_bytes(CHUNK, partial=True)
-                if self._closing:
-                    return
-                receiver.received(data)
-                if self._upgrade is not None:
-                    await self._secure(*self._upgrade)
-                # Guards against a side that does not read: what is kept for it stays bounded.
-                while self.sink is not None and self.sink.unsent > BEHIND and not self.sink.closed:
-                    await self.sink.flushed()
-        except (StreamClosedError, ssl.SSLError, TimeoutError):
+            try:
+                await self._read(receiver)
+            except _OVER:
+                raise
+            except Exception:
+                log.say_exception("connection ended")
+                receiver.broke()
+            await self._discard()
+        except _OVER:
             self.stream.close()
             if not self._closing:
                 self._closing = True
                 receiver.lost(self.stream.error is not None)
-        except Exception:
-            log.say_exception("connection ended")
-            receiver.broke()
+        finally:
+            if self.door is not None:
+                self.door.gone(self)
+
+    async def _read(self, receiver: Receiver) -> None:
+        while not self._closing:
+            if not self._open.is_set():
+                await self._open.wait()
+            data = await self.stream.read_bytes(CHUNK, partial=True)
+            if self._closing:
+                return
+            receiver.received(data)
+            if self._upgrade is not None:
+                await self._secure(*self._upgrade)
+            # Guards against a side that does not read: what is kept for it stays bounded.
+            await self._caught_up()
+            if self.sink is not None:
+                with contextlib.suppress(StreamClosedError):  # the sink's own reading sees that, and tells
+                    await self.sink._caught_up()
+            if len(data) == CHUNK:
+                # Guards the others' turns against a client that sends at full speed: a read that finds
+                # bytes at once does not give up its turn by itself.
+                await asyncio.sleep(0)
+
+    async def _caught_up(self) -> None:
+        while self.unsent > BEHIND and not self.closed:
+            await self.flushed()
+
+    async def _discard(self) -> None:
+        """Guards the last word: a close on unread input is a reset, and that destroys what the client has
+        not read yet. So this end stops sending, and what still comes is read and kept by nobody, as far as
+        `MOST_DISCARDED` and `LINGER_S` go.
+        """
+        left = MOST_DISCARDED if self._lingers else 0
+        while left > 0:
+            left -= len(await self.stream.read_bytes(CHUNK, partial=True))
+            await asyncio.sleep(0)
+        if self._lingers:
+            self.stream.close()
 
     def secure(self, tls: Tls, done: Callable[[str], None]) -> None:
         """Goes over to TLS once what was written is out; ``done`` is told the name on the peer's certificate.
@@ -145,15 +197,23 @@
             return  # the stream is between two states; it is closed when the handshake ends
         if reset and not self.stream.closed():
             self.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        elif self.stream.writing():
-            # The kernel has not taken all: the close waits for it, but not for long.
-            asyncio.get_running_loop().call_later(LINGER_S, self.stream.close)
-            self.stream.write(b"").add_done_callback(self._unsent_gone)
-            return
+        elif not self.stream.closed():
+            # TLS ends with the socket: there is no half-close to wait in.
+            self._lingers = self.door is not None and not isinstance(self.stream, SSLIOStream)
+            if self._lingers or self.stream.writing():
+                # The kernel has not taken all, or the client has not: the close waits, but not for long.
+                asyncio.get_running_loop().call_later(LINGER_S, self.stream.close)
+                self.stream.write(b"").add_done_callback(self._unsent_gone)
+                if self._lingers and self.door is not None:
+                    self.door.last_word(self)
+                return
         self.stream.close()
 
     def _unsent_gone(self, written: asyncio.Future[None]) -> None:
-        written.exception()
+        if written.exception() is None and self._lingers and not self.stream.closed():
+            with contextlib.suppress(OSError):  # the client is gone, and the next read tells
+                self.stream.socket.shutdown(socket.SHUT_WR)
+            return
         self.stream.close()
 
 
@@ -163,11 +223,16 @@
     return str(names[0]) if names else ""
 
 
+def stream_on(connection: socket.socket) -> IOStream:
+    """A stream that reads no more at once than is handed on."""
+    return IOStream(connection, max_buffer_size=MOST_READ, read_chunk_size=CHUNK)
+
+
 def unconnected(address: tuple[str, int]) -> Link | None:
     """A link to be connected; None where there is no descriptor left for it."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
     try:
-        return Link(IOStream(socket.socket(family, socket.SOCK_STREAM), max_buffer_size=MOST_UNSENT))
+        return Link(stream_on(socket.socket(family, socket.SOCK_STREAM)))
     except OSError as problem:
         log.say(f"no socket: {problem}")
         return None
--- a/puffinpost/net/listener.py
+++ b/puffinpost/net/listener.py
@@ -2,26 +2,28 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import os
 import socket
 from collections.abc import Callable
 
 from tornado.ioloop import IOLoop
-from tornado.iostream import IOStream
 
-from puffinpost.net.link import MOST_UNSENT, Link
+from puffinpost.net.link import CHUNK, Door, Link, stream_on
 
 BACKLOG = 4096
-AT_ONCE = 64  # accepted before other work gets its turn
+AT_ONCE = 16  # accepted before other work gets its turn
+PAUSE_S = 0.02  # where there is no room or no descriptor: the listener would stay readable
 
 
 class Listener:
     """A listening socket. ``accepted`` is called with each link, ``turned_away`` with a socket to answer."""
 
-    def __init__(self, address: tuple[str, int], accepted: Callable[[Link], None],
+    def __init__(self, address: tuple[str, int], door: Door, accepted: Callable[[Link], None],
                  turned_away: Callable[[socket.socket], None]) -> None:
         self.address = address
+        self.door = door
         self.accepted = accepted
         self.turned_away = turned_away
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
@@ -30,41 +32,67 @@
         self.socket.setblocking(False)
         self.socket.bind(address)
         self.socket.listen(BACKLOG)
-        self._spare = os.open(os.devnull, os.O_RDONLY)
+        self._spare: int | None = os.open(os.devnull, os.O_RDONLY)
+        self._paused: object | None = None
+        self._listen()
+
+    def _listen(self) -> None:
+        self._paused = None
         IOLoop.current().add_handler(self.socket, lambda fd, events: self._accept(AT_ONCE), IOLoop.READ)
 
+    def _pause(self) -> None:
+        """Guards against a spin: what is not accepted keeps the listener readable."""
+        if self._paused is None:
+            IOLoop.current().remove_handler(self.socket)
+            self._paused = IOLoop.current().call_later(PAUSE_S, self._listen)
+
     def close(self) -> None:
         """Takes what has connected already, then listens no more."""
-        IOLoop.current().remove_handler(self.socket)
+        if self._paused is None:
+            IOLoop.current().remove_handler(self.socket)
+        else:
+            IOLoop.current().remove_timeout(self._paused)
+        self._paused = self
         self._accept(BACKLOG)
         self.socket.close()
-        os.close(self._spare)
+        if self._spare is not None:
+            os.close(self._spare)
 
     def _accept(self, most: int) -> None:
         for _ in range(most):
+            if most == AT_ONCE and not self.door.may_enter():
+                self._pause()
+                return
             try:
                 connection, address = self.socket.accept()
             except BlockingIOError:
                 return
             except OSError as problem:
-                if problem.errno in (errno.EMFILE, errno.ENFILE) and self._turn_away():
-                    continue
                 if problem.errno == errno.ECONNABORTED:
                     continue
+                if problem.errno in (errno.EMFILE, errno.ENFILE) and self._turn_away():
+                    continue
+                self._pause()
                 return
-            link = Link(IOStream(connection, max_buffer_size=MOST_UNSENT))
+            link = Link(stream_on(connection), self.door)
             link.peer = address[:2]
             self.accepted(link)
 
     def _turn_away(self) -> bool:
         """Gives the spare descriptor to one connection, for as long as its answer takes."""
-        os.close(self._spare)
+        if self._spare is not None:
+            os.close(self._spare)
+            self._spare = None
         try:
             connection, _address = self.socket.accept()
             with connection:
+                connection.setblocking(False)
+                with contextlib.suppress(OSError):
+                    connection.recv(CHUNK)  # what has come already: unread, it would make the close a reset
                 self.turned_away(connection)
             return True
         except OSError:
             return False
         finally:
-            self._spare = os.open(os.devnull, os.O_RDONLY)
+            with contextlib.suppress(OSError):  # another may have been quicker; the next turn tries again
+                self._spare = os.open(os.devnull, os.O_RDONLY)
--- /dev/null
+++ b/puffinpost/net/places.py
@@ -0,0 +1,137 @@
+"""Who holds a descriptor on the north side. Both fronts ask here, so no kind of client can take all of them.
+
+A connection is a newcomer until its first message, then it has a session, which needs a second descriptor for
+its relay. One that asks for nothing at the moment but may stay is a guest. One that has had its last word is
+leaving, until the client has read it.
+"""
+
+from __future__ import annotations
+
+import math
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+from puffinpost.config import OWN_SOCKETS
+from puffinpost.counters import Counters
+from puffinpost.net.link import Link
+
+# Clients write their first line at once, and one that cannot be served is owed its answer within 3 s.
+FIRST_S = 2.0
+# A newcomer is not closed for want of room before this: what it wrote may be on its way.
+YOUNG_S = 0.1
+SWEEP_S = 0.1
+# This part of the rest is kept from sessions, for newcomers and for those that leave.
+DOORWAY = 8
+# And this part is what guests may have: a front that asks for signs of life, XMPP streams between sessions.
+GUESTS = 4
+
+
+class Visitor(Protocol):
+    """A client's connection, as a front knows it."""
+
+    link: Link
+
+    def late(self) -> None:
+        """Its time is over, or its place is needed: answer and close."""
+
+
+class Places:
+    """Counts the places on the north side, and frees the oldest of those that are least needed."""
+
+    def __init__(self, sockets: int, counters: Counters,
+                 call_later: Callable[[float, Callable[[], None]], object]) -> None:
+        self.most = sockets - OWN_SOCKETS
+        self.for_sessions = self.most - max(4, self.most // DOORWAY)
+        self.counters = counters
+        self.leaving: dict[Link, None] = {}
+        self._newcomers: dict[Visitor, tuple[float, float]] = {}  # since when, and until when
+        self._guests: dict[Visitor, float] = {}  # until when; the one that was heard last stands last
+        self._sessions: set[Visitor] = set()
+        self._call_later = call_later
+        self._sweep()
+
+    def may_enter(self) -> bool:
+        """Whether one more connection may be accepted. Where not, it waits in the kernel for a moment."""
+        return self._taken() < self.most or bool(self.leaving or self._guests) or self._evictable(
+            time.monotonic()
+        ) is not None
+
+    def enter(self, visitor: Visitor, limit_s: float = FIRST_S) -> None:
+        """A client has connected, or has begun what it must end within the limit."""
+        now = time.monotonic()
+        self.left(visitor)
+        self._newcomers[visitor] = now, now + limit_s
+        self._make_room(now)
+
+    def rest(self, visitor: Visitor, limit_s: float = math.inf) -> None:
+        """Nothing is owed to the client now, and it may stay."""
+        now = time.monotonic()
+        self.left(visitor)
+        self._guests[visitor] = now + limit_s
+        if len(self._guests) > self.most // GUESTS:
+            self._end(next(iter(self._guests)))
+        self._make_room(now)
+
+    def ask(self, visitor: Visitor) -> bool:
+        """A client's message is to be served. False: there is no room for a session and its relay."""
+        if 2 * (len(self._sessions) + 1) > self.for_sessions:
+            self.counters.add("no_room")
+            return False
+        self.left(visitor)
+        self._sessions.add(visitor)
+        self._make_room(time.monotonic())
+        return True
+
+    def left(self, visitor: Visitor) -> None:
+        """A client's connection is over, or changes its kind."""
+        self._newcomers.pop(visitor, None)
+        self._guests.pop(visitor, None)
+        self._sessions.discard(visitor)
+
+    def last_word(self, link: Link) -> None:
+        """A connection is being closed, and waits for its client to read the answer."""
+        self.leaving[link] = None
+        self._make_room(time.monotonic())
+
+    def gone(self, link: Link) -> None:
+        """A connection is closed."""
+        self.leaving.pop(link, None)
+
+    def _taken(self) -> int:
+        return len(self._newcomers) + len(self._guests) + len(self.leaving) + 2 * len(self._sessions)
+
+    def _make_room(self, now: float) -> None:
+        """Guards against clients that connect by the hundred and say nothing, or do not leave."""
+        while self._taken() > self.most:
+            if self.leaving:
+                link = next(iter(self.leaving))
+                del self.leaving[link]
+                self.counters.add("hurried")
+                link.stream.close()
+                continue
+            oldest = self._evictable(now)
+            if oldest is not None:
+                self._end(oldest)
+            elif self._guests:
+                self._end(next(iter(self._guests)))
+            else:
+                return
+
+    def _evictable(self, now: float) -> Visitor | None:
+        oldest = next(iter(self._newcomers), None)
+        return oldest if oldest is not None and self._newcomers[oldest][0] + YOUNG_S <= now else None
+
+    def _end(self, visitor: Visitor) -> None:
+        self.left(visitor)
+        self.counters.add("late")
+        visitor.late()
+
+    def _sweep(self) -> None:
+        self._call_later(SWEEP_S, self._sweep)
+        now = time.monotonic()
+        for over in [visitor for visitor, (_, until) in self._newcomers.items() if until <= now]:
+            self._end(over)
+        for over in [visitor for visitor, until in self._guests.items() if until <= now]:
+            self._end(over)
+        self._make_room(now)
--- a/puffinpost/protocol/lines.py
+++ b/puffinpost/protocol/lines.py
@@ -5,11 +5,14 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
 
 LONGEST_LINE = 4096  # its CRLF included
+_READABLE = re.compile(rb"[!-~]+(?: [!-~]+)*\r\n")
+_HEX = re.compile(rb"[0-9A-Fa-f]{1,16}")
 
 
 class LineError(ValueError):
@@ -39,6 +42,11 @@
             yield line
         self._check()
 
+    @property
+    def pending(self) -> bool:
+        """Whether part of a line has come and waits for its end."""
+        return bool(self._rest) and not self._rest.endswith(b"\n")
+
     def _check(self) -> None:
         if len(self._rest) > self.longest:
             raise LineError(f"a line is longer than {self.longest} bytes")
@@ -51,6 +59,7 @@
 class Opening:
     """A client's first line: what the decisions need, and the bytes round its ``d``."""
 
+    ident: int
     klass: str
     wait_ms: int
     key: int
@@ -69,15 +78,17 @@
 
 def parse_opening(line: bytes) -> Opening:
     """Reads ``OPEN ID KEY c=CLASS,d=MS,...``. ``LineError`` says what is wrong with it."""
-    parts = line.rstrip(b"\r\n").split(b" ")
-    if len(parts) != 4 or parts[0] != b"OPEN":
+    # Guards the transcribers, which close on what they cannot read: only what they surely can goes on.
+    if not _READABLE.fullmatch(line):
+        raise LineError("not a line of plain characters that ends with CRLF")
+    parts = line[:-2].split(b" ")
+    if len(parts) != 4 or parts[0] + b" " != OPEN:
         raise LineError("not OPEN with an id, a key and a list")
-    _hex(parts[1], "id")
     fields: dict[bytes, bytes] = {}
     for item in parts[3].split(b","):
         name, equals, value = item.partition(b"=")
-        if not equals or name in fields:
-            raise LineError(f"the list's {name!r} has no value, or two")
+        if not name or not equals or not value or name in fields:
+            raise LineError(f"the list's {name[:40]!r} has no value, or two")
         fields[name] = value
     if b"c" not in fields or b"d" not in fields:
         raise LineError("the list lacks c or d")
@@ -87,6 +98,7 @@
     wait = fields[b"d"]
     load = _whole(fields[b"h"], "h") if b"h" in fields else None
     return Opening(
+        ident=_hex(parts[1], "id"),
         klass=fields[b"c"].decode("ascii", "replace"),
         wait_ms=_whole(wait, "d"),
         key=_hex(parts[2], "key"),
@@ -101,13 +113,9 @@
 
 
 def _hex(raw: bytes, name: str) -> int:
-    try:
-        value = int(raw, 16)
-    except ValueError:
-        raise LineError(f"{name} is not a hexadecimal number") from None
-    if not 0 <= value < 1 << 64 or not raw.isalnum():
-        raise LineError(f"{name} is not a number of 64 bits")
-    return value
+    if not _HEX.fullmatch(raw):
+        raise LineError(f"{name} is not a hexadecimal number of 64 bits")
+    return int(raw, 16)
 
 
 def _whole(raw: bytes, name: str) -> int:
@@ -121,6 +129,7 @@
     return b"BUSY %d\r\n" % pause_ms if pause_ms > 0 else b"BUSY\r\n"
 
 
+OPEN = b"OPEN "
 FAILED = b"ERR\r\n"
 MOVE = b"MOVE\r\n"
 PING = b"PING"
--- a/puffinpost/protocol/xmpp_stream.py
+++ b/puffinpost/protocol/xmpp_stream.py
@@ -129,6 +129,11 @@
         self._asked = ""  # the mechanism that waits for its response
         self._headed = False
 
+    @property
+    def headed(self) -> bool:
+        """Whether the stream has been opened."""
+        return self._headed
+
     def secured(self, certified: str = "") -> None:
         """TLS is up: the stream begins anew, and what came before counts for nothing."""
         self.secure, self.upgrading, self.certified = True, False, certified
