Learn what each transcriber can do from the load and the connections it reports

Each report that showed it free had it filled over its head again. `_capacity` in rules.py took scale times weight for every server.

Changed: `_learn` keeps, for each server, the connections that fill it: held over load, as reported together. A cold one, or one that has told nothing yet, is still taken by its weight.

--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -57,6 +57,9 @@
 DRAWS = 4  # rounds of candidates looked at before a request is held: the cost of a full fleet is bounded
 COLD_SAFETY = 0.6  # of a cold server's budget is used: its size is a guess and others round up too
 ASK_SPREAD = 0.5  # of the time within which the list must be asked: instances spread their calls over it
+LEARN_LEAST = 4.0  # connections that a report must tell of, for what the server can do to be learned from it
+LEARN_LOAD = 0.1  # and the load: below it the rounding of a report weighs more than what it tells
+LEARN_PART = 0.3  # weight of the newest report in what was learned
 RATE_HALVING = 0.999  # how slowly running means forget, per item
 
 TICK_TOKEN = 0
@@ -75,7 +78,7 @@
     """What this balancer knows of one server."""
 
     __slots__ = (
-        "aside_until", "budget", "budget_ns", "cell", "down", "faults", "groups", "id", "kind", "lot",
+        "aside_until", "budget", "budget_ns", "cell", "down", "faults", "fills", "groups", "id", "kind", "lot",
         "leave_ns", "listed", "load", "load_ns", "moved_load", "moved_ns", "own", "own_load", "placements",
         "probe_out", "probed_ns", "salt", "started_ns", "trusted_ns", "watchers", "weight", "zone",
     )
@@ -92,6 +95,7 @@
         self.down = False  # told that it drains or is gone
         self.load: float | None = None  # last reported load over capacity
         self.load_ns = 0
+        self.fills = 0.0  # connections that fill it, as its reports tell; 0: not known
         self.lot = 0.5  # drawn at each report: rounds this balancer's share of the room left
         self.leave_ns = 0  # by when its connections are moved away, once it drains
         self.moved_ns = 0  # no further moves before this
@@ -168,6 +172,7 @@
         self.window = WINDOW_MOST  # and how many there may be
         self.own_load = 0.0
         self.mean_load = 0.0
+        self.mean_own = 1.0  # mean load of a connection here
         self.survey_ns = 0
         self.surveyed_load = 0.0
         self.scale = 1.0  # capacity for each unit of weight
@@ -176,6 +181,7 @@
         self.ask_ns: int | None = None
         self.can_probe = settings.probes and len(settings.report_fields) > 0
         self.load_field = self._load_field(settings.report_fields)
+        self.held_field = self._held_field(settings.report_fields)
 
     def handle(self, event: Event, now_ns: int) -> list[Action]:
         """The actions that answer an event. Events for what is unknown or over change nothing."""
@@ -269,7 +275,7 @@
             server.started_ns = line.started_ns
             if line.started_ns:
                 # A new process: what was known of the old one is void, and it starts cold.
-                server.load, server.faults, server.aside_until = None, 0, 0
+                server.load, server.fills, server.faults, server.aside_until = None, 0.0, 0, 0
                 server.placements.clear()
                 server.budget, server.budget_ns = self.chance.random(), self.now
 
@@ -310,12 +316,33 @@
                 return fields.index(name)
         return None
 
+    @staticmethod
+    def _held_field(fields: tuple[str, ...]) -> int | None:
+        for name in ("concurrent", "inflight"):
+            if name in fields:
+                return fields.index(name)
+        return None
+
+    def _learn(self, server: Server, load: float, report: tuple[float, ...]) -> None:
+        """What a server can do, from the connections and the load that it reports together.
+
+        Guards against one that is far slower than its weight says: by its weight it would be filled over its
+        head after each report that shows it free.
+        """
+        if self.held_field is None or self.held_field >= len(report):
+            return
+        held = report[self.held_field]
+        if LEARN_LEAST <= held < 1e6 and load >= LEARN_LOAD:
+            seen = held / load
+            server.fills += (seen - server.fills) * (LEARN_PART if server.fills else 1.0)
+
     def _take_report(self, server: Server, report: tuple[float, ...]) -> None:
         if self.load_field is None or self.load_field >= len(report):
             return
         load = report[self.load_field]
         if not 0.0 <= load < 1e6:  # also drops what is not a number
             return
+        self._learn(server, load, report)
         server.load = load
         server.load_ns = self.now
         server.lot = self.chance.random()
@@ -361,6 +388,8 @@
         """
         self.survey_ns = self.now + int(SURVEY_AIMS * self.aim_ns)
         self.surveyed_load = self.own_load
+        own = sum(len(server.own) for server in self.servers.values())
+        self.mean_own = self.own_load / own if own else self._typical()
         weight = used = told_weight = warm_used = 0.0
         clipped = warm_held = 0.0
         for server in self.servers.values():
@@ -424,6 +453,8 @@
 
     def _capacity(self, server: Server) -> float:
         """What a server can do, in the unit of loads."""
+        if server.fills and not self._is_cold(server):
+            return max(server.fills * self.mean_own, 1e-9)
         return max(self.scale * server.weight, 1e-9)
 
     def _score(self, server: Server, flow: Flow) -> float:
