Let own connections stand for a transcriber's load where reports come late

`_inflation` takes a placement for covered after three aims (2.4 s), so later reports from before the burst showed servers free that were full.

Changed: `_load` is the reported load or what this balancer holds there, times the others' part, over what fills the server, whichever is more. The others' part is learned from the connections that servers report, over some seconds, so that a restarting peer does not leave it wrong.

--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -60,6 +60,9 @@
 LEARN_LEAST = 4.0  # connections that a report must tell of, for what the server can do to be learned from it
 LEARN_LOAD = 0.1  # and the load: below it the rounding of a report weighs more than what it tells
 LEARN_PART = 0.3  # weight of the newest report in what was learned
+SPREAD_LEAST = 8  # connections held here, for the others' part to be learned from the reports
+SPREAD_PART = 0.1  # weight of the newest sum in what was learned: some seconds, longer than reports are late
+OWN_MOST = 2.0  # the most load that own books alone may say
 RATE_HALVING = 0.999  # how slowly running means forget, per item
 
 TICK_TOKEN = 0
@@ -78,9 +81,9 @@
     """What this balancer knows of one server."""
 
     __slots__ = (
-        "aside_until", "budget", "budget_ns", "cell", "down", "faults", "fills", "groups", "id", "kind", "lot",
-        "leave_ns", "listed", "load", "load_ns", "moved_load", "moved_ns", "own", "own_load", "placements",
-        "probe_out", "probed_ns", "salt", "started_ns", "trusted_ns", "watchers", "weight", "zone",
+        "aside_until", "budget", "budget_ns", "cell", "down", "faults", "fills", "groups", "held", "id",
+        "kind", "lot", "leave_ns", "listed", "load", "load_ns", "moved_load", "moved_ns", "own", "own_load",
+        "placements", "probe_out", "probed_ns", "salt", "started_ns", "trusted_ns", "watchers", "weight", "zone",
     )
 
     def __init__(self, line: ServerLine) -> None:
@@ -95,6 +98,7 @@
         self.down = False  # told that it drains or is gone
         self.load: float | None = None  # last reported load over capacity
         self.load_ns = 0
+        self.held = 0.0  # connections that it reported last
         self.fills = 0.0  # connections that fill it, as its reports tell; 0: not known
         self.lot = 0.5  # drawn at each report: rounds this balancer's share of the room left
         self.leave_ns = 0  # by when its connections are moved away, once it drains
@@ -172,6 +176,7 @@
         self.window = WINDOW_MOST  # and how many there may be
         self.own_load = 0.0
         self.mean_load = 0.0
+        self.spread = float(settings.balancers)  # connections of all balancers for each one of this one's
         self.mean_own = 1.0  # mean load of a connection here
         self.survey_ns = 0
         self.surveyed_load = 0.0
@@ -332,7 +337,10 @@
         if self.held_field is None or self.held_field >= len(report):
             return
         held = report[self.held_field]
-        if LEARN_LEAST <= held < 1e6 and load >= LEARN_LOAD:
+        if not 0.0 <= held < 1e6:
+            return
+        server.held = held
+        if held >= LEARN_LEAST and load >= LEARN_LOAD:
             seen = held / load
             server.fills += (seen - server.fills) * (LEARN_PART if server.fills else 1.0)
 
@@ -392,6 +400,7 @@
         self.mean_own = self.own_load / own if own else self._typical()
         weight = used = told_weight = warm_used = 0.0
         clipped = warm_held = 0.0
+        held_told = held_own = 0.0
         for server in self.servers.values():
             if server.down:
                 continue
@@ -399,6 +408,8 @@
             if server.load is None:
                 continue
             used += server.weight * server.load
+            held_told += server.held
+            held_own += len(server.own)
             # Guards against a fleet held for full by reports from a storm that is over.
             trust = server.weight * 0.5 ** ((self.now - server.load_ns) / (MEAN_AIMS * self.aim_ns))
             told_weight += trust
@@ -406,6 +417,9 @@
             if not self._is_cold(server):
                 warm_held += len(server.own)
                 warm_used += server.weight * server.load
+        if held_own >= SPREAD_LEAST and self.held_field is not None:
+            told = min(max(held_told / held_own, 1.0), 2.0 * self.settings.balancers)
+            self.spread += (told - self.spread) * SPREAD_PART
         held = max(self.own_load, self._typical()) * self.settings.balancers
         self.scale = max(held / max(used, weight * GUESSED_FULLNESS, 1e-9), 1e-9)
         self.mean_load = clipped / told_weight if told_weight > 0 else 0.0
@@ -463,8 +477,9 @@
             free = POINTS
             band = POINTS - server.own_load * self.settings.balancers * POINTS / capacity
         else:
-            free = max(0.0, POINTS - server.load * POINTS)
-            band = POINTS - server.load * POINTS
+            load = self._load(server)
+            free = max(0.0, POINTS - load * POINTS)
+            band = POINTS - load * POINTS
         band = max(0.0, band)
         band -= min(band, self._inflation(server) * POINTS / capacity)
         score = free + free + band
@@ -512,12 +527,22 @@
             picked = picked[:CHOICES]
         return picked
 
+    def _load(self, server: Server) -> float:
+        """The load as reported, or as this balancer's own books say where that is more.
+
+        Guards against reports from before a surge: what is held here is known at once.
+        """
+        told = server.load or 0.0
+        if not server.fills:
+            return told
+        return max(told, min(server.own_load * self.spread / self._capacity(server), OWN_MOST))
+
     def _predicted(self, server: Server) -> float:
         """Load over capacity, with what is on its way."""
         capacity = self._capacity(server)
         if server.load is None:
             return 0.0
-        return server.load + self._inflation(server) / self.settings.balancers / capacity
+        return self._load(server) + self._inflation(server) / self.settings.balancers / capacity
 
     def _has_room(self, server: Server, flow: Flow) -> bool:
         """Whether a server can take one more without being full.
@@ -531,7 +556,7 @@
             return self._predicted(server) < FULL
         one = self._estimate(flow, server) * self.settings.balancers
         capacity = self._capacity(server)
-        return server.load + (self._inflation(server) + one * server.lot) / capacity < FULL
+        return self._load(server) + (self._inflation(server) + one * server.lot) / capacity < FULL
 
     def _choose(self, flow: Flow, sample: list[Server]) -> Server | None:
         """The best of the candidates; one that owes its report for too long only if no other is left.
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -36,17 +36,17 @@
 def test_inflation_counts_for_all_balancers_and_fades_as_a_report_covers_it() -> None:
     world = Driver(replace(PLAIN, balancers=4))
     balancer = world.balancer
-    world.report(1, 0.5, 10.0)
+    world.report(1, 0.5, 1.0)
     balancer.scale = 80.0
     server = balancer.servers[1]
     server.placements.append((world.now, 2.0))
     # 2 of 80, for 4 balancers: a tenth of the bandwidth, 100 points.
     assert balancer._score(server, flow(world)) == 1500.0 - 100.0
     world.now += 750 * MS  # half of three aims
-    world.report(1, 0.5, 10.0)
+    world.report(1, 0.5, 1.0)
     assert abs(balancer._score(server, flow(world)) - (1500.0 - 50.0)) < 1e-6
     world.now += 2 * S
-    world.report(1, 0.5, 10.0)
+    world.report(1, 0.5, 1.0)
     assert balancer._score(server, flow(world)) == 1500.0 and server.placements == []
 
 
@@ -135,3 +135,33 @@
             world.run(70 * MS)
         logs.append(world.log)
     assert logs[0] == logs[1] and len(logs[0]) > 100
+
+
+def test_what_a_server_can_do_is_learned_from_what_it_holds() -> None:
+    """Guards against one of full weight that is slow, filled anew whenever a report shows it free."""
+    world = Driver(PLAIN, line(1), line(2))
+    world.report(1, 0.5, 40.0)
+    world.report(2, 0.5, 5.0)
+    servers, balancer = world.balancer.servers, world.balancer
+    assert [balancer._capacity(servers[number]) for number in (1, 2)] == [80.0, 10.0]
+    assert [balancer._has_room(servers[number], flow(world)) for number in (1, 2)] == [True, True]
+    for number in (1, 2):
+        servers[number].placements = [(world.now, 1.0)] * 4
+    assert [balancer._has_room(servers[number], flow(world)) for number in (1, 2)] == [True, False]
+    world.give(api.ServerList(api.ListKind.DELTA, (line(2, started_ns=world.now),)))
+    assert servers[2].fills == 0.0  # a new process may be a faster one
+
+
+def test_own_connections_stand_for_a_load_that_is_reported_late() -> None:
+    world = Driver(replace(PLAIN, balancers=2), line(1))
+    world.report(1, 0.5, 10.0)  # 20 fill it
+    for _ in range(7):
+        world.open()
+    world.now += 4 * S  # long enough for a fresh report to cover them; this one does not
+    world.report(1, 0.5, 10.0)
+    server = world.balancer.servers[1]
+    world.balancer._survey()
+    assert server.placements == []
+    assert world.balancer._load(server) == 7 * 2 / 20  # as many again are taken to be the other balancer's
+    world.report(1, 0.8, 16.0)
+    assert world.balancer._load(server) == 0.8
