End before SIGKILL where deadlines are long, and spread the moves until then

Seen: `_leave` in __main__.py took max(longest deadline, 3 s) for the time until SIGKILL; PROTOCOL counts a longer deadline as 3 s. With the 4.8 s of these settings the node could have stood at SIGKILL, at 3.7 s, with clients still unanswered. Its moves were over after 2 s of the 3.4 s there are.

Tested: a silent transcriber, a class of 4.8 s and SIGTERM; the client is answered and the node gone within 3.7 s. It fails on the old line.

--- a/puffinpost/__main__.py
+++ b/puffinpost/__main__.py
@@ -26,11 +26,11 @@
 from puffinpost.net.south import Dialler
 
 # On SIGTERM the front goes on sending clients for up to 0.4 s, and SIGKILL comes no sooner than the longest
-# deadline (3 s at least) and 0.7 s later.
+# deadline (3 s at most) and 0.7 s later.
 STILL_COMING_S = 0.5
-MOVES_OVER_S = 1.5
-LEAST_DEADLINE_S = 3.0
+MOST_DEADLINE_S = 3.0
 LAST_ANSWERS_S = 0.42  # for those that came last; what is left until SIGKILL is for the way out
+LAST_MOVE_S = 0.6  # before that: room for those that come up late, and for MOVE to be read
 TICK_S = 0.02
 
 
@@ -174,7 +174,9 @@
         """Answers what still comes, moves what stands, and ends before it would be killed."""
         longest = max(item.deadline_ns for item in self.config.settings.classes) / 1e9
         began = time.monotonic()
-        end = began + max(longest, LEAST_DEADLINE_S) + LAST_ANSWERS_S
+        end = began + min(longest, MOST_DEADLINE_S) + LAST_ANSWERS_S
+        # As long as there is: all that are moved are set up anew at transcribers that have other work.
+        span = max(TICK_S, end - LAST_MOVE_S - began - STILL_COMING_S)
         self.front.leaving = True
         await asyncio.sleep(STILL_COMING_S)
         for listener in listeners:
@@ -184,11 +186,11 @@
         moved = 0
         while time.monotonic() < end:
             spent = time.monotonic() - began - STILL_COMING_S
-            due = len(first) if spent >= MOVES_OVER_S else int(len(first) * spent / MOVES_OVER_S)
+            due = len(first) if spent >= span else int(len(first) * spent / span)
             for exchange in first[moved:due]:
                 self.core.move(exchange)
             moved = max(moved, due)
-            if spent >= MOVES_OVER_S:
+            if spent >= span:
                 for exchange in self.core.standing():
                     self.core.move(exchange)
                 if not self.core.exchanges:
--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -83,7 +83,8 @@
     __slots__ = (
         "aside_until", "budget", "budget_ns", "cell", "down", "faults", "fills", "groups", "held", "id",
         "kind", "lot", "leave_ns", "listed", "load", "load_ns", "moved_load", "moved_ns", "own", "own_load",
-        "placements", "probe_out", "probed_ns", "salt", "started_ns", "trusted_ns", "watchers", "weight", "zone",
+        "placements", "probe_out", "probed_ns", "salt", "started_ns", "trusted_ns", "watchers", "weight",
+        "zone",
     )
 
     def __init__(self, line: ServerLine) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -269,6 +269,19 @@
     assert standing.line() == b"MOVE\r\n" and [it.ending() for it in (relay, *relays)] == ["end", "end"]
 
 
+def test_the_end_comes_before_sigkill_where_deadlines_are_long(world: World) -> None:
+    """A deadline counts as 3 s where it is longer, and SIGKILL may come 0.7 s after that."""
+    classes = [{**item, "HardLimitNs": 4_800_000_000} for item in SETTINGS["Classes"]]
+    node = world.start(settings={"Classes": classes})
+    client = node.client(OPEN % 4800)
+    first = first_of(world.servers)  # and all are silent
+    began = time.monotonic()
+    node.process.terminate()
+    assert client.line().startswith(b"BUSY") and client.ending() == "end"
+    assert node.process.wait(WAIT_S) == 0 and time.monotonic() - began < 3.7
+    assert first[1].ending() == "end"
+
+
 def refusal(folder: Path) -> str:
     """The one line with which the program refuses to start."""
     env = {**os.environ, "GW_CONFIG": str(folder / "config.json"), "GW_EDGE": str(folder / "edge.toml")}
