Count a cold transcriber with the part of its capacity that it has by now

`_capacity` took it at its full weight; only the rate of new ones was bounded.

Changed: `_capacity` takes the part that `_warmth` says; what is learned from a cold server is scaled back by the same part.

--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -342,7 +342,7 @@
             return
         server.held = held
         if held >= LEARN_LEAST and load >= LEARN_LOAD:
-            seen = held / load
+            seen = held / load / self._warmth(server)
             server.fills += (seen - server.fills) * (LEARN_PART if server.fills else 1.0)
 
     def _take_report(self, server: Server, report: tuple[float, ...]) -> None:
@@ -468,9 +468,8 @@
 
     def _capacity(self, server: Server) -> float:
         """What a server can do, in the unit of loads."""
-        if server.fills and not self._is_cold(server):
-            return max(server.fills * self.mean_own, 1e-9)
-        return max(self.scale * server.weight, 1e-9)
+        full = server.fills * self.mean_own if server.fills else self.scale * server.weight
+        return max(full * self._warmth(server), 1e-9)
 
     def _score(self, server: Server, flow: Flow) -> float:
         capacity = self._capacity(server)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -149,7 +149,11 @@
         servers[number].placements = [(world.now, 1.0)] * 4
     assert [balancer._has_room(servers[number], flow(world)) for number in (1, 2)] == [True, False]
     world.give(api.ServerList(api.ListKind.DELTA, (line(2, started_ns=world.now),)))
-    assert servers[2].fills == 0.0  # a new process may be a faster one
+    assert servers[2].fills == 0.0  # a new process may be a faster one, and it is cold:
+    assert balancer._capacity(servers[2]) == balancer.scale * 0.2
+    world.now += 10 * S  # half way to warm
+    world.report(2, 0.5, 6.0)
+    assert abs(servers[2].fills * 0.6 - 12.0) < 1e-6 and abs(balancer._capacity(servers[2]) - 12.0) < 1e-6
 
 
 def test_own_connections_stand_for_a_load_that_is_reported_late() -> None:
