Give up dead discovery calls in time, answer half-closes, try unknown servers

Seen, read in the code and confirmed by the new tests: - net/discovery.py believed a silent call for 24 s, and 4 s for one that does not wait; what it had to tell counts as told 2 s after the wait, and 4 s after SIGHUP. Now 21 s and 2.5 s. rules.py waited an eighth to three eighths of the allowed time before the next call; the first one now comes after 0.1 s for each balancer, then at twice the distance. - a list that counts lower than the one before gave a draining transcriber back its work; now only where its process has started since. - IOStream closes at the end of input, so a client that half-closed never got its answer; Stream.ending speaks before that. Half a line and an end is ERR. - a host that is unreachable raised OSError past the link and was logged as a failure of the program; it is a lost connection. - bad lines have a share of the log of their own.

Now a server that has shown nothing, where most have, gets a dozen beyond what it reports.

--- a/puffinpost/core.py
+++ b/puffinpost/core.py
@@ -243,6 +243,14 @@
             self._give(lambda: api.ClientGone(exchange.number))
         self._close(exchange.relay, api.Result.CANCELLED)
 
+    def withdraw(self, exchange: Exchange) -> None:
+        """The client sends no more, but may still read: what waits ends now, with a true answer."""
+        self.gone(exchange)
+        if self._harmless(exchange):
+            exchange.north.refuse(0)
+        else:
+            exchange.north.fail(False)
+
     def line_north(self, exchange: Exchange, size: int, count: int = 1) -> None:
         """Lines of the client's went on to its transcriber."""
         exchange.octets_north += size
@@ -345,8 +353,10 @@
 
     def dismiss(self, exchange: Exchange) -> None:
         """The node ends: what waits is answered by the core itself, truly about whether it may have run."""
-        safe = self.settings.classes[exchange.message.klass].effect is api.Effect.SAFE
-        self._answer(exchange.number, "refused" if safe else "failed", 0)
+        self._answer(exchange.number, "refused" if self._harmless(exchange) else "failed", 0)
+
+    def _harmless(self, exchange: Exchange) -> bool:
+        return self.settings.classes[exchange.message.klass].effect is api.Effect.SAFE
 
     # --- within -------------------------------------------------------------------------------------
 
--- a/puffinpost/fronts/platform.py
+++ b/puffinpost/fronts/platform.py
@@ -128,12 +128,21 @@
     def _bad(self, problem: str) -> None:
         """Ends a connection whose client wrote what cannot be taken. Nothing of it reaches a transcriber."""
         self.core.counters.add("bad_lines")
-        log.say(f"bad line from a client: {problem}")
+        log.say(f"bad line from a client: {problem}", often=True)
         exchange = self.exchange
         if exchange is not None and not self.over:
             self.core.gone(exchange)
         self._say(lines.FAILED)
 
+    def ending(self) -> None:
+        """The client sends no more. One that only half-closed reads its answer, one that left does not."""
+        if self.over:
+            return
+        if self.exchange is not None and not self.exchange.standing:
+            self.core.withdraw(self.exchange)
+        elif self.exchange is None and self.splitter.pending:
+            self._bad("it ended in the middle of a line")
+
     def lost(self, reset: bool) -> None:
         self._leave()
         south = self.south
--- a/puffinpost/fronts/xmpp.py
+++ b/puffinpost/fronts/xmpp.py
@@ -116,6 +116,10 @@
     def late(self) -> None:
         self.stream.fail("resource-constraint" if self.stream.bound else "connection-timeout")
 
+    def ending(self) -> None:
+        if self.exchange is not None and not self.exchange.standing:
+            self.core.withdraw(self.exchange)
+
     def lost(self, reset: bool) -> None:
         self.stream.over = True
         self._leave(reset)
--- a/puffinpost/inventory.py
+++ b/puffinpost/inventory.py
@@ -8,7 +8,7 @@
 
 import hashlib
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import orjson
@@ -50,6 +50,7 @@
     index: int = 0
     addresses: dict[api.ServerId, tuple[str, int]] = field(default_factory=dict)
     statuses: dict[api.ServerId, api.Status] = field(default_factory=dict)
+    _started: dict[api.ServerId, int] = field(default_factory=dict)
     _ids: dict[str, api.ServerId] = field(default_factory=dict)
     _names: dict[api.ServerId, str] = field(default_factory=dict)
 
@@ -63,6 +64,8 @@
         # every node.
         for entry in sorted(entries, key=_name_of):
             line = self._line(entry)
+            if index < self.index:
+                line = self._newer_of(line)
             lines.append(line)
             if line.status is not api.Status.GONE:
                 try:
@@ -73,12 +76,21 @@
             self.statuses = {}
         for line in lines:
             self.statuses[line.server] = line.status
+            self._started[line.server] = line.started_ns
         # An address outlives its entry: connections that stand there still name it.
         self.addresses.update(addresses)
         self.index = index
         kind = api.ListKind.CACHED if cached else api.ListKind.FULL if full else api.ListKind.DELTA
         return api.ServerList(kind, tuple(lines))
 
+    def _newer_of(self, line: api.ServerLine) -> api.ServerLine:
+        """Guards against a discovery that is behind another one: what has been told to drain or to be gone
+        stays so in a list that counts lower, unless its process has started since.
+        """
+        known = self.statuses.get(line.server, api.Status.READY)
+        again = line.started_ns > self._started.get(line.server, 0)
+        return line if known is api.Status.READY or again else replace(line, status=known)
+
     def takes_work(self, server: api.ServerId) -> bool:
         """Whether the last word on a transcriber is that it may have new work."""
         return self.statuses.get(server) is api.Status.READY
--- a/puffinpost/net/discovery.py
+++ b/puffinpost/net/discovery.py
@@ -15,7 +15,9 @@
 WAIT_MS = 20_000
 CONNECT_S = 2.0
 # Guards against a discovery that has vanished without a word: a call that outlasts its wait by this fails.
-OVERTIME_S = 4.0
+# What it had to tell counts as told 2 s after the wait, so there must be time left for another call.
+OVERTIME_S = 1.0
+WHOLE_S = 2.5  # for the whole list, which is answered in turn: after 2 s discovery gives up by itself
 
 
 class Watch:
@@ -64,7 +66,8 @@
                 wait_ms = 0 if self._whole else WAIT_MS
                 path = "/api/targets" + (f"?after={self.index()}&wait_ms={wait_ms}" if wait_ms else "")
                 call = self._call(link.stream, http.get(path, f"{self.address[0]}:{self.address[1]}"))
-                reply = await asyncio.wait_for(call, wait_ms / 1000 + OVERTIME_S)
+                limit = wait_ms / 1000 + OVERTIME_S if wait_ms else WHOLE_S
+                reply = await asyncio.wait_for(call, limit)
                 if reply.status != 200:
                     log.say(f"discovery: status {reply.status}")
                     return
--- a/puffinpost/net/link.py
+++ b/puffinpost/net/link.py
@@ -34,6 +34,22 @@
     hostname: str | None = None
 
 
+class Stream(IOStream):
+    """An IOStream that tells of the other end's last byte before it closes: it can still be answered then."""
+
+    ending: Callable[[], None] | None = None
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        got = super().read_from_fd(buf)
+        if got == 0 and self.ending is not None:
+            call, self.ending = self.ending, None
+            try:
+                call()
+            except Exception:
+                log.say_exception("connection ended")
+        return got
+
+
 class Receiver(Protocol):
     """What stands behind a link. It knows no socket."""
 
@@ -60,7 +76,7 @@
         """The connection is closed."""
 
 
-_OVER = (StreamClosedError, ssl.SSLError, TimeoutError)
+_OVER = OSError  # a stream that is closed, TLS that fails, a handshake that is late, a host that is gone
 
 
 class Link:
@@ -87,6 +103,8 @@
 
     async def run(self, receiver: Receiver) -> None:
         """Reads until the connection is over."""
+        if isinstance(self.stream, Stream):
+            self.stream.ending = getattr(receiver, "ending", None)
         try:
             try:
                 await self._read(receiver)
@@ -223,9 +241,9 @@
     return str(names[0]) if names else ""
 
 
-def stream_on(connection: socket.socket) -> IOStream:
+def stream_on(connection: socket.socket) -> Stream:
     """A stream that reads no more at once than is handed on."""
-    return IOStream(connection, max_buffer_size=MOST_READ, read_chunk_size=CHUNK)
+    return Stream(connection, max_buffer_size=MOST_READ, read_chunk_size=CHUNK)
 
 
 def unconnected(address: tuple[str, int]) -> Link | None:
--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -63,6 +63,8 @@
 SPREAD_LEAST = 8  # connections held here, for the others' part to be learned from the reports
 SPREAD_PART = 0.1  # weight of the newest sum in what was learned: some seconds, longer than reports are late
 OWN_MOST = 2.0  # the most load that own books alone may say
+UNKNOWN_MOST = 12.0  # connections beyond those reported, for a server that has not shown what it can do
+CALLS_APART_NS = 100_000_000  # between two balancers' calls for the list after one that failed
 RATE_HALVING = 0.999  # how slowly running means forget, per item
 
 TICK_TOKEN = 0
@@ -179,12 +181,14 @@
         self.mean_load = 0.0
         self.spread = float(settings.balancers)  # connections of all balancers for each one of this one's
         self.mean_own = 1.0  # mean load of a connection here
+        self.learned = 0  # servers of which it is known what they can do
         self.survey_ns = 0
         self.surveyed_load = 0.0
         self.scale = 1.0  # capacity for each unit of weight
         self.full_connections: float | None = None
         self.probe_credit = PROBES_SAVED
         self.ask_ns: int | None = None
+        self.list_fails = 0  # calls for the list in a row that failed
         self.can_probe = settings.probes and len(settings.report_fields) > 0
         self.load_field = self._load_field(settings.report_fields)
         self.held_field = self._held_field(settings.report_fields)
@@ -401,6 +405,7 @@
         self.mean_own = self.own_load / own if own else self._typical()
         weight = used = told_weight = warm_used = 0.0
         clipped = warm_held = 0.0
+        self.learned = sum(server.fills > 0 for server in self.servers.values())
         held_told = held_own = 0.0
         for server in self.servers.values():
             if server.down:
@@ -550,6 +555,10 @@
         Where the fleet has no room, every balancer has clients waiting, and what reports a little room would
         be flooded by all at once: then each takes its own share of that room only, rounded by chance.
         """
+        untold = len(server.own) * self.spread - server.held
+        if not server.fills and 2 * self.learned > len(self.servers) and untold >= UNKNOWN_MOST:
+            # Guards against one that is far slower than its weight says: the others have shown what they do.
+            return False
         if server.load is None:
             return True
         if self.mean_load <= ROOMY:
@@ -897,10 +906,16 @@
         self.actions.append(Subscribe())
 
     def _on_list_came(self) -> None:
-        self.ask_ns = None
+        self.ask_ns, self.list_fails = None, 0
 
     def _on_list_failed(self) -> None:
-        """Guards against a list that is down or overrun: ask again later, at a chance moment."""
-        step = max(1, int(self.settings.ask_within_ns * ASK_SPREAD / 2))
+        """Guards against a list that is down or overrun: ask again later, at a chance moment.
+
+        Soon at first, for most calls fail because a connection broke, and what changes meanwhile is not told;
+        then at twice the distance each time.
+        """
+        soon = CALLS_APART_NS * self.settings.balancers << min(self.list_fails, 20)
+        step = max(1, min(soon, int(self.settings.ask_within_ns * ASK_SPREAD / 2)))
+        self.list_fails += 1
         self.ask_ns = self.now + step // 2 + self.chance.randrange(step)
         self.actions.append(Log("server list: call failed, asking again"))
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -132,7 +132,7 @@
         if self.form == "bytes":
             return [plain[at:at + 1] for at in range(len(plain))]
         bad = {"to the end": b"HTTP/1.0 200 OK\r\n\r\n" + body, "garbage": b"SSH-2.0-x\r\n\r\n",
-               "503": b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+               "silent": b"", "503": b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
                "not a list": b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n[{}]"}
         return [bad.get(self.form, plain)]
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -169,3 +169,19 @@
     assert world.balancer._load(server) == 7 * 2 / 20  # as many again are taken to be the other balancer's
     world.report(1, 0.8, 16.0)
     assert world.balancer._load(server) == 0.8
+
+
+def test_a_server_that_has_shown_nothing_is_tried_with_a_dozen() -> None:
+    """Guards a slow one of full weight against a balancer that has just started and knows nothing of it."""
+    world = Driver(PLAIN, line(1), line(2), line(3))
+    for number, held in ((1, 20.0), (2, 20.0), (3, 0.0)):
+        world.report(number, 0.4, held)
+    world.balancer._survey()
+    server = world.balancer.servers[3]
+    rooms = []
+    for number in range(16):
+        rooms.append(world.balancer._has_room(server, flow(world)))
+        server.own[1000 + number] = flow(world)
+    assert rooms == [True] * 12 + [False] * 4
+    world.report(3, 0.8, 16.0)
+    assert world.balancer._has_room(server, flow(world))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -158,3 +158,18 @@
     ids = [one.find(entry["name"]) for entry in names]
     assert ids == [two.find(entry["name"]) for entry in names]
     assert len(set(ids)) == 50 and all(number and 0 < number < 1 << 48 for number in ids)
+
+
+def test_an_older_list_takes_back_no_drain() -> None:
+    """A discovery that the node is sent to may be behind the one that it leaves."""
+    inventory = Inventory((), ())
+
+    def told(index: int, status: str, since_ms: int, full: bool = True) -> bool:
+        entry = {**ENTRY, "name": "s-0", "status": status, "since_ms": since_ms}
+        inventory.take({"index": index, "snapshot": full, "endpoints": [entry]})
+        return inventory.takes_work(inventory.find("s-0") or 0)
+
+    assert told(9, "up", 5) and not told(10, "draining", 5)
+    assert not told(8, "up", 5), "it counts lower, and is from before the drain"
+    assert told(9, "up", 5, False), "it is newer than the list before: the drain was taken back"
+    assert not told(10, "draining", 5) and told(7, "up", 6), "the process has started anew"
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -42,16 +42,21 @@
     assert node.counts()["reloads"] == 2
 
 
-def test_a_discovery_that_comes_late_is_asked_until_it_answers(world: World) -> None:
+@pytest.mark.parametrize("form", ["503", "silent"])
+def test_a_discovery_that_comes_late_is_asked_until_it_answers(world: World, form: str) -> None:
+    """What it has to tell counts as told 4 s after the signal: a call without an answer ends before."""
     node = world.start()
     successor = Discovery()
-    successor.form = "503"
+    successor.form = form
     successor.tell("s-0", world.servers[0].address)
+    began = time.monotonic()
     node.reload(discovery=successor.server.address)
     successor.wait_calls(2)
+    assert time.monotonic() - began < 4
     successor.form = ""
-    successor.wait_calls(4)
-    assert set(successor.asked[:3]) == {-1} and successor.asked[-1] == 1
+    while 1 not in successor.asked:  # the watch that goes on from its list
+        successor.wait_calls(len(successor.asked) + 1)
+    assert set(successor.asked[:successor.asked.index(1)]) == {-1}
 
 
 @pytest.mark.parametrize(("text", "names"), [
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import select
+import socket
 import time
 
 import pytest
@@ -135,3 +136,19 @@
     assert client.line() == b"UP 1\r\n"
     assert [int(relay.line()) for _ in range(20000)] == list(range(20000))
     assert time.monotonic() - began < WAIT_S / 2
+
+
+@pytest.mark.parametrize(("klass", "answer"), [(b"live-text", b"BUSY\r\n"), (b"once", b"ERR\r\n")])
+def test_a_client_that_only_half_closes_reads_its_answer(world: World, klass: bytes, answer: bytes) -> None:
+    client = world.start().client((OPEN % 3000).replace(b"live-text", klass))
+    _, relay = first_of(world.servers)
+    relay.line()
+    client.socket.shutdown(socket.SHUT_WR)
+    assert client.line() == answer and client.ending() == "end" and relay.ending() == "end"
+    assert not any(server.asked() for server in world.servers)
+
+
+def test_half_a_line_and_an_end_is_an_error(world: World) -> None:
+    client = world.start().client(b"OPEN 9b1f03aa5c7e2d41 7f3a")
+    client.socket.shutdown(socket.SHUT_WR)
+    assert client.line() == b"ERR\r\n" and client.ending() == "end"
