Ask for the list soon after a start, and keep no read buffers of reset streams

It is now half a second for each balancer.

An exception of a read is kept with its stream and keeps the frames it went through, and with mine a buffer of 8 KiB for each reset connection (net/link.py, Stream).

--- a/puffinpost/net/link.py
+++ b/puffinpost/net/link.py
@@ -40,7 +40,10 @@
     ending: Callable[[], None] | None = None
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
-        got = super().read_from_fd(buf)
+        try:
+            got = super().read_from_fd(buf)
+        finally:
+            del buf  # an exception is kept with the stream, and this frame with it
         if got == 0 and self.ending is not None:
             call, self.ending = self.ending, None
             try:
@@ -120,6 +123,8 @@
                 self._closing = True
                 receiver.lost(self.stream.error is not None)
         finally:
+            if isinstance(self.stream, Stream):
+                self.stream.ending = None  # else session, link and stream hold each other, and their memory
             if self.door is not None:
                 self.door.gone(self)
 
--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -65,6 +65,7 @@
 OWN_MOST = 2.0  # the most load that own books alone may say
 UNKNOWN_MOST = 12.0  # connections beyond those reported, for a server that has not shown what it can do
 CALLS_APART_NS = 100_000_000  # between two balancers' calls for the list after one that failed
+STARTS_APART_NS = 500_000_000  # between two balancers' first calls for the list
 RATE_HALVING = 0.999  # how slowly running means forget, per item
 
 TICK_TOKEN = 0
@@ -226,7 +227,9 @@
     def _begin(self) -> None:
         self.actions.append(Timer(self.tick_ns, TICK_TOKEN))
         if self.settings.list_on_request:
-            spread = int(self.settings.ask_within_ns * ASK_SPREAD) if self.settings.balancers > 1 else 0
+            # Soon: what this instance was started with may be old, and a peer that restarts starts alone.
+            others = self.settings.balancers - 1
+            spread = min(int(self.settings.ask_within_ns * ASK_SPREAD), others * STARTS_APART_NS)
             self.ask_ns = self.now + self.chance.randrange(spread + 1)
 
     def _on_timer(self, token: int) -> None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -102,6 +102,23 @@
     assert of(world.ask(), api.Send) != []
 
 
+def test_the_list_is_asked_for_soon_after_a_start_and_after_a_failure() -> None:
+    """Guards against old news: what changes while nobody listens is acted on late."""
+    world = Driver(replace(PLAIN, list_on_request=True, balancers=3))
+    assert len(of(world.run(1100 * MS), api.Subscribe)) == 1
+    gaps = []
+    for _ in range(6):
+        world.give(api.ServerList(api.ListKind.FAILED))
+        began = world.now
+        while of(world.run(5 * MS), api.Subscribe) == []:
+            assert world.now < began + 10 * S
+        gaps.append(world.now - began)
+    assert gaps[0] <= 500 * MS and max(gaps) > 4 * gaps[0]
+    world.give(api.ServerList(api.ListKind.DELTA))
+    world.give(api.ServerList(api.ListKind.FAILED))
+    assert len(of(world.run(500 * MS), api.Subscribe)) == 1
+
+
 def test_balancers_spread_their_calls_for_the_list() -> None:
     moments = set()
     for seed in range(20):
