--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -191,8 +191,8 @@
         self.ask_ns: int | None = None
         self.list_fails = 0  # calls for the list in a row that failed
         self.can_probe = settings.probes and len(settings.report_fields) > 0
-        self.load_field = self._load_field(settings.report_fields)
-        self.held_field = self._held_field(settings.report_fields)
+        self.load_field = self._field(settings.report_fields, "x0", "load_share")
+        self.held_field = self._field(settings.report_fields, "concurrent", "inflight")
 
     def handle(self, event: Event, now_ns: int) -> list[Action]:
         """The actions that answer an event. Events for what is unknown or over change nothing."""
@@ -323,18 +323,8 @@
     # --- load estimate: reports, capacity, inflation ------------------------------------------------
 
     @staticmethod
-    def _load_field(fields: tuple[str, ...]) -> int | None:
-        for name in ("x0", "load_share"):
-            if name in fields:
-                return fields.index(name)
-        return None
-
-    @staticmethod
-    def _held_field(fields: tuple[str, ...]) -> int | None:
-        for name in ("concurrent", "inflight"):
-            if name in fields:
-                return fields.index(name)
-        return None
+    def _field(fields: tuple[str, ...], *names: str) -> int | None:
+        return next((fields.index(name) for name in names if name in fields), None)
 
     def _learn(self, server: Server, load: float, report: tuple[float, ...]) -> None:
         """What a server can do, from the connections and the load that it reports together.
