--- a/puffinpost/__main__.py
+++ b/puffinpost/__main__.py
@@ -17,13 +17,15 @@
 from puffinpost.fronts.xmpp import XmppFront
 from puffinpost.interface import Result, ServerId
 from puffinpost.inventory import Inventory, InventoryError
+from puffinpost.net.console import Console
 from puffinpost.net.discovery import Watch
 from puffinpost.net.flows import FlowSink
 from puffinpost.net.link import Link, Receiver
-from puffinpost.net.listener import Listener
+from puffinpost.net.listener import Listener, adopted, bound
 from puffinpost.net.places import Places
 from puffinpost.net.probes import Prober
 from puffinpost.net.south import Dialler
+from puffinpost.operations import Operations
 
 # On SIGTERM the front goes on sending clients for up to 0.4 s, and SIGKILL comes no sooner than the longest
 # deadline (3 s at most) and 0.7 s later.
@@ -66,22 +68,24 @@
         self.config = told
         self.counters = Counters()
         self.inventory = Inventory(told.zones, told.kinds)
-        self.core = Core(told.settings, told.seed, self.inventory, LoopClock(), self, self.counters)
+        self.core = Core(told.settings, told.classes, told.seed, self.inventory, LoopClock(), self,
+                         self.counters)
         self.prober = Prober(told.settings.report_fields, self.core.probed)
         self.watch = Watch(
             told.discovery, lambda: self.inventory.index, self._told, self.core.inventory_failed
         )
         dialler = Dialler(self.core)
-        self.places = Places(told.sockets, self.counters, asyncio.get_running_loop().call_later)
-        self.front = PlatformFront(self.core, told.classes, dialler, self.places)
-        self.xmpp = (
-            XmppFront(self.core, told.xmpp, told.classes, dialler, self.places) if told.xmpp else None
-        )
-        self.flows = FlowSink(told.flows, told.classes, self.counters) if told.flows else None
+        call_later = asyncio.get_running_loop().call_later
+        self.places = Places(told.for_clients, self.counters, call_later)
+        self.front = PlatformFront(self.core, dialler, self.places)
+        self.xmpp = XmppFront(self.core, told.xmpp, dialler, self.places) if told.xmpp else None
+        self.console = Console(Operations(self.core, self._unready).answer, call_later)
+        self.flows = FlowSink(told.flows, self.core) if told.flows else None
         if self.flows is not None:
             self.core.on_end.append(self.flows.ended)
         self.tasks: set[asyncio.Task[None]] = set()
         self.stop = asyncio.Event()
+        self.listening = False
 
     # --- what the core asks for (Ports) -------------------------------------------------------------
 
@@ -109,31 +113,46 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def _unready(self) -> str:
+        if self.front.leaving:
+            return "leaving"
+        if not self.listening:
+            return "not listening yet"
+        return "" if self.core.fresh else "discovery has not told its list yet"
+
+    def _open_console(self) -> None:
+        address, console = self.config.console, self.console
+        if address is not None:
+            Listener(bound(address), console, lambda link: self._serve(link, console.accept(link)),
+                     console.turn_away)
+            log.say(f"the console is at {address[0]}:{address[1]}")
+
     def _listen(self) -> list[Listener]:
-        front, xmpp = self.front, self.xmpp
+        front, xmpp, inherited = self.front, self.xmpp, self.config.inherited
         listeners = [Listener(
-            self.config.listen, self.places, lambda link: self._serve(link, front.accept(link)),
-            front.turn_away,
+            bound(self.config.listen) if inherited is None else adopted(inherited), self.places,
+            lambda link: self._serve(link, front.accept(link)), front.turn_away,
         )]
         if xmpp is not None:
             listeners.append(Listener(
-                xmpp.config.listen, self.places, lambda link: self._serve(link, xmpp.accept(link)),
-                xmpp.turn_away,
+                bound(xmpp.config.listen), self.places,
+                lambda link: self._serve(link, xmpp.accept(link)), xmpp.turn_away,
             ))
         for listener in listeners:
-            log.say(f"{self.config.name} listens on {listener.address[0]}:{listener.address[1]}, "
-                    f"with {self.config.sockets} descriptors")
+            host, port = listener.socket.getsockname()[:2]
+            log.say(f"{self.config.name} listens on {host}:{port}, with {self.config.sockets} descriptors")
+        self.listening = True
         return listeners
 
     def _reload(self) -> None:
         """SIGHUP: the file is read again. What was learned, and whoever is connected, stays."""
-        self.counters.add("reloads")
         try:
             self.config, waits = config.reload(self.config)
         except config.ConfigError as problem:
-            self.counters.add("reloads_refused")
+            self.counters.add("cfg_invalid")
             log.say(f"reload: {problem}; what was in force stays")
             return
+        self.counters.add("cfg_accepted")
         host, port = self.config.discovery
         waiting = f"; cannot change while running: {', '.join(waits)}" if waits else ""
         log.say(f"reload: discovery at {host}:{port}{waiting}")
@@ -161,6 +180,7 @@
         else:
             # Nothing can be served yet, but the decisions have to be woken to ask for a list.
             self.core.inventory_failed()
+        self._open_console()
         listeners = self._listen()
         if self.config.counts_every_s:
             loop.call_later(self.config.counts_every_s, self._say_counts_again)
--- a/puffinpost/config.py
+++ b/puffinpost/config.py
@@ -10,6 +10,7 @@
 import os
 import resource
 import ssl
+import stat
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
@@ -28,6 +29,8 @@
 # What the node itself holds: three standard streams, the loop's three, a listener and a spare each front, a
 # connection each to discovery, the collector and the transcribers that are probed.
 OWN_SOCKETS = 32
+CONSOLE_CALLS = 12  # that may be open at a time, beside the console's listener and its spare
+INHERITED = "GW_INHERITED_FD"
 EDGE_FILE = Path(__file__).parent.parent / "deploy" / "edge.toml"
 
 
@@ -68,11 +71,14 @@
     zones: tuple[str, ...]
     kinds: tuple[str, ...]
     sockets: int
+    for_clients: int  # of these, what the north side may have, and its relays
     discovery_in_file: str = ""  # as the file has it, whatever the environment says
     known: dict[str, Any] = field(default_factory=dict)
     xmpp: XmppConfig | None = None
     flows: FlowsConfig | None = None
     counts_every_s: int = 0
+    console: Address | None = None
+    inherited: int | None = None  # the descriptor of the listening socket, where the platform holds it
 
 
 def flatten(value: Any, path: str = "") -> list[str]:
@@ -134,7 +140,9 @@
     sockets = _of(_of(told, "limits", dict, {}), "sockets", int, 1024)
     # Guards against a system that allows less than the platform says.
     sockets = min(sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-    if sockets < OWN_SOCKETS + 8:
+    console = address("GW_CONSOLE", "console") if environ.get("GW_CONSOLE") or told.get("console") else None
+    own = OWN_SOCKETS + (CONSOLE_CALLS + 2 if console is not None else 0)
+    if sockets < own + 8:
         raise ConfigError(f"limits.sockets: {sockets} leaves no room for connections")
     edge = _Table(_load_edge(environ), "")
     xmpp, flows = _xmpp(edge.table_of("xmpp")), _flows(edge.table_of("ipfix"))
@@ -152,14 +160,30 @@
         zones=tuple(str(item) for item in raw.get("Dcs", [])),
         kinds=tuple(str(item) for item in raw.get("Kinds", [])),
         sockets=sockets,
+        for_clients=sockets - own,
         discovery_in_file=str(told.get("discovery", "")),
         known=_of(told, "known", dict, {}),
         xmpp=xmpp,
         flows=flows,
         counts_every_s=counts_every_s,
+        console=console,
+        inherited=_inherited(environ),
     )
 
 
+def _inherited(environ: Mapping[str, str]) -> int | None:
+    """The descriptor of a listening socket that this process was started with."""
+    raw = environ.get(INHERITED, "")
+    if not raw:
+        return None
+    try:
+        if stat.S_ISSOCK(os.fstat(int(raw)).st_mode):
+            return int(raw)
+    except (ValueError, OSError):
+        pass
+    raise ConfigError(f"{INHERITED}: {raw!r} is not the descriptor of a socket")
+
+
 def reload(now: Config, environ: Mapping[str, str] = os.environ) -> tuple[Config, list[str]]:
     """What is in force once the file is read again, and the keys of what is new but waits for a restart.
 
@@ -174,7 +198,8 @@
         except ValueError as problem:
             raise ConfigError(f"discovery: {problem}") from None
     # `known` and the seed are for a start: the node has had better news, and more chance, since.
-    fixed = ("name", "listen", "settings", "classes", "zones", "kinds", "sockets", "flows", "counts_every_s")
+    fixed = ("name", "listen", "settings", "classes", "zones", "kinds", "sockets", "flows", "counts_every_s",
+             "console")
     waits = [name for name in fixed if getattr(read, name) != getattr(now, name)]
     return replace(now, discovery=discovery, discovery_in_file=read.discovery_in_file), waits
 
--- a/puffinpost/core.py
+++ b/puffinpost/core.py
@@ -36,6 +36,9 @@
 LONGEST_WAIT_MS = 600_000
 
 
+_OUTCOMES = {"refused": "throttled", "failed": "faulted"}  # what the figures call these answers
+
+
 class DuplicateError(ValueError):
     """A message has the id of another one that has not ended."""
 
@@ -160,9 +163,11 @@
 class Core:
     """Drives one ``Balancer``."""
 
-    def __init__(self, settings: api.Settings, seed: int, inventory: Inventory, clock: Clock, ports: Ports,
-                 counters: Counters) -> None:
+    def __init__(self, settings: api.Settings, class_names: tuple[str, ...], seed: int, inventory: Inventory,
+                 clock: Clock, ports: Ports, counters: Counters) -> None:
         self.settings = settings
+        self.class_names = class_names  # in the order of the settings' classes
+        self.classes = {name: number for number, name in enumerate(class_names)}
         self.inventory = inventory
         self.clock = clock
         self.ports = ports
@@ -172,6 +177,7 @@
         self._idents: set[int] = set()  # of messages that have not ended
         self.on_end: list[Callable[[Ended], None]] = []
         self.able = False
+        self.fresh = False  # discovery itself has told the list, since the start
         self._numbers = 0
         self._events: deque[Callable[[], api.Event]] = deque()
         self._busy = False
@@ -186,6 +192,7 @@
         """Discovery answered. ``InventoryError``: it is not a list."""
         event = self.inventory.take(told, cached)
         self.able = True
+        self.fresh = self.fresh or not cached
         self._give(lambda: event)
 
     def inventory_failed(self) -> None:
@@ -243,6 +250,14 @@
             self._give(lambda: api.ClientGone(exchange.number))
         self._close(exchange.relay, api.Result.CANCELLED)
 
+    def turned_away(self, klass: int) -> None:
+        """A message of a class was refused before it was opened, for want of room."""
+        self.tally("throttled", klass)
+
+    def tally(self, outcome: str, klass: int) -> None:
+        """Counts what became of a connection, by its class."""
+        self.counters.add(f"{outcome}.{self.class_names[klass]}")
+
     def withdraw(self, exchange: Exchange) -> None:
         """The client sends no more, but may still read: what waits ends now, with a true answer."""
         self.gone(exchange)
@@ -273,7 +288,7 @@
     def written(self, relay: Relay) -> None:
         """The relay's first line is out, to its last byte: from here on it may have run."""
         relay.written = True
-        self.counters.add("relays_written")
+        self.counters.add("relayed")
 
     def up(self, relay: Relay) -> bool:
         """The transcriber took the connection. False: too late, the relay is over."""
@@ -283,6 +298,7 @@
         self._stop_timer(relay)
         exchange.standing, exchange.up_ns = True, self.clock.now()
         self.counters.add("up")
+        self.tally("fulfilled", exchange.message.klass)
         if exchange.inherited:
             request = self._request(exchange)
             self._give(lambda: api.Inherited(request, relay.server))
@@ -477,6 +493,8 @@
         exchange.answered = True
         self.clock.cancel(exchange.guard)
         self.counters.add(answer)
+        if answer in _OUTCOMES:
+            self.tally(_OUTCOMES[answer], exchange.message.klass)
         if exchange.relay is None:
             self._forget(exchange)
         ended = Ended(exchange, answer, result, self.clock.now())
--- a/puffinpost/counters.py
+++ b/puffinpost/counters.py
@@ -15,6 +15,10 @@
         """Counts something."""
         self._counts[name] += amount
 
+    def get(self, name: str) -> int:
+        """What has been counted of something."""
+        return self._counts[name]
+
     def text(self) -> str:
         """All counts on one line."""
         return " ".join(f"{name}={count}" for name, count in sorted(self._counts.items())) or "none"
--- a/puffinpost/fronts/platform.py
+++ b/puffinpost/fronts/platform.py
@@ -20,10 +20,8 @@
 class PlatformFront:
     """Takes clients in."""
 
-    def __init__(self, core: Core, classes: tuple[str, ...], dialler: Dialler,
-                 places: Places) -> None:
+    def __init__(self, core: Core, dialler: Dialler, places: Places) -> None:
         self.core = core
-        self.classes = {name: number for number, name in enumerate(classes)}
         self.dialler = dialler
         self.places = places
         self.full = lines.refusal(PAUSE_MS if core.settings.pauses else 0)
@@ -42,7 +40,7 @@
 
     def message(self, opening: lines.Opening, source: tuple[str, int]) -> Message:
         """A first line in the core's terms. ``LineError`` where its class is unknown."""
-        klass = self.classes.get(opening.klass)
+        klass = self.core.classes.get(opening.klass)
         if klass is None:
             raise lines.LineError(f"class {opening.klass[:40]!r} is unknown")
         # One that stood before the node's start has no such limit: whoever brings it back waits as it likes.
@@ -115,6 +113,7 @@
         self.opening = opening = lines.parse_opening(line)
         message = self.front.message(opening, self.link.peer)
         if not self.front.places.ask(self):
+            self.core.turned_away(message.klass)
             self._say(self.front.full)
             return
         if opening.at is None:
--- a/puffinpost/fronts/xmpp.py
+++ b/puffinpost/fronts/xmpp.py
@@ -33,11 +33,9 @@
 class XmppFront:
     """Takes XMPP clients in."""
 
-    def __init__(self, core: Core, config: XmppConfig, classes: tuple[str, ...], dialler: Dialler,
-                 places: Places) -> None:
+    def __init__(self, core: Core, config: XmppConfig, dialler: Dialler, places: Places) -> None:
         self.core = core
         self.config = config
-        self.classes = {name: number for number, name in enumerate(classes)}
         self.dialler = dialler
         self.places = places
         self.sessions: set[XmppSession] = set()
@@ -63,7 +61,7 @@
     def message(self, element: xmpp.Element, source: tuple[str, int]) -> Message:
         """What an ``open`` asks for, in the core's terms."""
         given = element.attributes
-        klass = self.classes.get(given.get("class", ""))
+        klass = self.core.classes.get(given.get("class", ""))
         if klass is None:
             raise BadRequest("class is missing or unknown")
         wait = _number(given, "wait", 10, LONGEST_WAIT_MS)
@@ -210,6 +208,7 @@
             self._refuse_stanza(element, "modify", "bad-request", said)
             return
         if not self.front.places.ask(self):
+            self.core.turned_away(message.klass)
             self._refuse_stanza(element, "wait", "resource-constraint")
             return
         self.iq = element.attributes["id"]
--- a/puffinpost/inventory.py
+++ b/puffinpost/inventory.py
@@ -91,6 +91,10 @@
         again = line.started_ns > self._started.get(line.server, 0)
         return line if known is api.Status.READY or again else replace(line, status=known)
 
+    def entries(self) -> int:
+        """How many transcribers are on the list."""
+        return sum(status is not api.Status.GONE for status in self.statuses.values())
+
     def takes_work(self, server: api.ServerId) -> bool:
         """Whether the last word on a transcriber is that it may have new work."""
         return self.statuses.get(server) is api.Status.READY
--- /dev/null
+++ b/puffinpost/net/console.py
@@ -0,0 +1,103 @@
+"""The operators' address: one HTTP call to a connection, and a fixed number of calls at a time."""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Callable
+from http import HTTPStatus
+
+from puffinpost import log
+from puffinpost.config import CONSOLE_CALLS
+from puffinpost.net.link import Link
+from puffinpost.protocol.http import Answer, Call, CallParser, HttpError
+
+# A call is not closed for want of room before this: what it wrote may be on its way.
+YOUNG_S = 0.02
+WHOLE_S = 5.0  # for a whole call
+BUSY = Answer(HTTPStatus.SERVICE_UNAVAILABLE, "no room for another call\n")
+
+
+class Console:
+    """Counts the calls (it is the door of their links), and hands whole ones on to be answered."""
+
+    def __init__(self, answer: Callable[[Call], Answer],
+                 call_later: Callable[[float, Callable[[], None]], object]) -> None:
+        self.answer = answer
+        self.call_later = call_later
+        self.links: dict[Link, None] = {}  # open, the oldest first
+        self.waiting: dict[OperatorCall, float] = {}  # not whole yet, since when
+        self.leaving: dict[Link, None] = {}
+
+    def may_enter(self) -> bool:
+        """Whether one more call may be accepted. Where not, it waits in the kernel for a moment."""
+        return len(self.links) < CONSOLE_CALLS or bool(self.leaving) or self._evictable() is not None
+
+    def accept(self, link: Link) -> OperatorCall:
+        """A caller has connected. Guards against callers that send half a call, or do not leave."""
+        if len(self.links) >= CONSOLE_CALLS:
+            if self.leaving:
+                next(iter(self.leaving)).stream.close()
+            elif (oldest := self._evictable()) is not None:
+                oldest.cut_off()
+        self.links[link] = None
+        call = OperatorCall(self, link)
+        self.waiting[call] = time.monotonic()
+        self.call_later(WHOLE_S, call.late)
+        return call
+
+    def turn_away(self, connection: socket.socket) -> None:
+        """Answers a connection for which there was no descriptor but the spare one."""
+        connection.send(BUSY.encode())
+
+    def last_word(self, link: Link) -> None:
+        self.leaving[link] = None
+
+    def gone(self, link: Link) -> None:
+        self.leaving.pop(link, None)
+        self.links.pop(link, None)
+
+    def _evictable(self) -> OperatorCall | None:
+        oldest = next(iter(self.waiting), None)
+        return oldest if oldest is not None and self.waiting[oldest] + YOUNG_S <= time.monotonic() else None
+
+
+class OperatorCall:
+    """One call."""
+
+    def __init__(self, console: Console, link: Link) -> None:
+        self.console = console
+        self.link = link
+        self.parser = CallParser()
+
+    def received(self, data: bytes) -> None:
+        try:
+            call = self.parser.feed(data)
+        except HttpError as problem:
+            self._say(Answer(problem.status, f"{problem}\n"))
+            return
+        if call is not None:
+            self._say(self.console.answer(call), call.method == "HEAD")
+
+    def late(self) -> None:
+        """Its time is over."""
+        if self in self.console.waiting:
+            self._say(Answer(HTTPStatus.REQUEST_TIMEOUT, "no whole call came\n"))
+
+    def cut_off(self) -> None:
+        """Its place is needed, at once."""
+        log.say("console: a call that is not whole makes room for the next", often=True)
+        self.link.write(BUSY.encode())
+        del self.console.waiting[self]
+        self.link.stream.close()
+
+    def lost(self, reset: bool) -> None:
+        self.console.waiting.pop(self, None)
+
+    def broke(self) -> None:
+        self._say(Answer(HTTPStatus.INTERNAL_SERVER_ERROR, "the node failed on this call\n"))
+
+    def _say(self, answer: Answer, bare: bool = False) -> None:
+        self.console.waiting.pop(self, None)
+        self.link.write(answer.encode(bare))
+        self.link.close()
--- a/puffinpost/net/discovery.py
+++ b/puffinpost/net/discovery.py
@@ -30,8 +30,9 @@
         self.told = told
         self.failed = failed
         # Guards against a discovery that counts anew, or that another one has taken the place of: what is
-        # newer than a version of the old one's would be waited for in vain. The whole list starts over.
-        self._whole = False
+        # newer than a version of the old one's would be waited for in vain. The whole list starts over. So it
+        # does at the start: a watch would tell only of what is newer than what this node was started with.
+        self._whole = True
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
--- a/puffinpost/net/flows.py
+++ b/puffinpost/net/flows.py
@@ -10,8 +10,7 @@
 
 from puffinpost import log
 from puffinpost.config import FlowsConfig
-from puffinpost.core import Ended
-from puffinpost.counters import Counters
+from puffinpost.core import Core, Ended
 from puffinpost.interface import Result
 from puffinpost.net.link import Link, dial
 from puffinpost.protocol import ipfix
@@ -32,10 +31,10 @@
 class FlowSink:
     """Keeps a bounded number of records and sends them in turn."""
 
-    def __init__(self, config: FlowsConfig, classes: tuple[str, ...], counters: Counters) -> None:
+    def __init__(self, config: FlowsConfig, core: Core) -> None:
         self.config = config
-        self.classes = classes
-        self.counters = counters
+        self.core = core
+        self.counters = core.counters
         self._waiting: deque[ipfix.Flow] = deque()
         self._more = asyncio.Event()
         self._task = asyncio.get_running_loop().create_task(self._run())
@@ -52,7 +51,7 @@
             exchange.came_ns // 1_000_000, told.now // 1_000_000, exchange.message.source, exchange.at,
             exchange.octets_north, exchange.octets_south,
             _REASONS.get(told.result or Result.RESET, ipfix.END_DETECTED),
-            self.classes[exchange.message.klass],
+            self.core.class_names[exchange.message.klass],
         ))
         self._more.set()
 
--- a/puffinpost/net/listener.py
+++ b/puffinpost/net/listener.py
@@ -17,21 +17,42 @@
 PAUSE_S = 0.02  # where there is no room or no descriptor: the listener would stay readable
 
 
+def bound(address: tuple[str, int]) -> socket.socket:
+    """A socket that listens on an address."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    made = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        made.bind(address)
+        made.listen(BACKLOG)
+    except OSError:
+        made.close()
+        raise
+    return made
+
+
+def adopted(descriptor: int) -> socket.socket:
+    """The socket that the platform holds and this process was given.
+
+    It is only ever closed here, never shut down: other processes have it too.
+    """
+    held = socket.socket(fileno=descriptor)
+    held.set_inheritable(False)
+    if not held.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        held.listen(BACKLOG)
+    return held
+
+
 class Listener:
     """A listening socket. ``accepted`` is called with each link, ``turned_away`` with a socket to answer."""
 
-    def __init__(self, address: tuple[str, int], door: Door, accepted: Callable[[Link], None],
+    def __init__(self, listening: socket.socket, door: Door, accepted: Callable[[Link], None],
                  turned_away: Callable[[socket.socket], None]) -> None:
-        self.address = address
         self.door = door
         self.accepted = accepted
         self.turned_away = turned_away
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self.socket = socket.socket(family, socket.SOCK_STREAM)
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket = listening
         self.socket.setblocking(False)
-        self.socket.bind(address)
-        self.socket.listen(BACKLOG)
         self._spare: int | None = os.open(os.devnull, os.O_RDONLY)
         self._paused: object | None = None
         self._listen()
--- a/puffinpost/net/places.py
+++ b/puffinpost/net/places.py
@@ -12,7 +12,6 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from puffinpost.config import OWN_SOCKETS
 from puffinpost.counters import Counters
 from puffinpost.net.link import Link
 
@@ -39,9 +38,9 @@
 class Places:
     """Counts the places on the north side, and frees the oldest of those that are least needed."""
 
-    def __init__(self, sockets: int, counters: Counters,
+    def __init__(self, most: int, counters: Counters,
                  call_later: Callable[[float, Callable[[], None]], object]) -> None:
-        self.most = sockets - OWN_SOCKETS
+        self.most = most
         self.for_sessions = self.most - max(4, self.most // DOORWAY)
         self.counters = counters
         self.leaving: dict[Link, None] = {}
--- /dev/null
+++ b/puffinpost/operations.py
@@ -0,0 +1,54 @@
+"""What the operators may ask of a node on its console, and what they are told."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+from puffinpost.core import Core
+from puffinpost.protocol.http import Answer, Call
+
+OUTCOMES = ("fulfilled", "throttled", "faulted")
+OK = HTTPStatus.OK
+
+
+class Operations:
+    """Answers calls. ``unready`` says why the node may not be called ready yet; empty where it is."""
+
+    def __init__(self, core: Core, unready: Callable[[], str]) -> None:
+        self.core = core
+        self.unready = unready
+
+    def answer(self, call: Call) -> Answer:
+        """The answer to a call."""
+        match call.path.strip("/").split("/"):
+            case ["ready"]:
+                return self._only(call, "GET", self._ready)
+            case ["metrics"]:
+                return self._only(call, "GET", lambda: Answer(OK, self.figures()))
+        return Answer(HTTPStatus.NOT_FOUND, f"there is no {call.path[:80]}\n")
+
+    def figures(self) -> str:
+        """All figures, a line each, in the form of StatsD."""
+        core, counts = self.core, self.core.counters
+        counters = {f"operations.{name}.{outcome}": counts.get(f"{outcome}.{name}")
+                    for name in core.class_names for outcome in OUTCOMES}
+        counters |= {name: counts.get(name) for name in ("relayed", "cfg_accepted", "cfg_invalid")}
+        gauges = {
+            "open_requests": len(core.exchanges),
+            "registry_entries": core.inventory.entries(),
+            "out_of_rotation": core.balancer.avoided(),
+        }
+        return "".join(f"app.{name}:{value}|{kind}\n" for kind, values in (("c", counters), ("g", gauges))
+                       for name, value in values.items())
+
+    @staticmethod
+    def _only(call: Call, method: str, answer: Callable[[], Answer]) -> Answer:
+        allowed = ("GET", "HEAD") if method == "GET" else (method,)
+        if call.method in allowed:
+            return answer()
+        return Answer(HTTPStatus.METHOD_NOT_ALLOWED, f"{call.method} is not for this\n", ", ".join(allowed))
+
+    def _ready(self) -> Answer:
+        why = self.unready()
+        return Answer(HTTPStatus.SERVICE_UNAVAILABLE, f"not ready: {why}\n") if why else Answer(OK, "ready\n")
--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -572,6 +572,10 @@
             return None
         return max(open_ones, key=lambda it: (self._score(it, flow), self.chance.random()))
 
+    def avoided(self) -> int:
+        """How many of the servers on the list get nothing new now."""
+        return sum(it.listed and (it.down or it.aside_until > self.now) for it in self.servers.values())
+
     # --- health -------------------------------------------------------------------------------------
 
     def _fault(self, server: Server) -> None:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -166,12 +166,25 @@
         return int(taken.getsockname()[1])
 
 
+def answer_of(peer: Peer) -> tuple[int, str]:
+    """The answer to a call, after which the connection ends."""
+    head = peer.until(b"\r\n\r\n").decode()
+    assert peer.ending() == "end"
+    size = next(line.split(": ")[1] for line in head.split("\r\n") if line.startswith("Content-Length"))
+    assert len(peer.buffer) in (int(size), 0)
+    return int(head.split(" ")[1]), peer.buffer.decode()
+
+
 class Node:
     """The real program, started as the platform starts it."""
 
     def __init__(self, folder: Path, discovery: Discovery, settings: dict[str, Any] | None = None,
-                 edge: str = "", sockets: int = 1024) -> None:
-        self.port, self.folder = free_port(), folder
+                 edge: str = "", sockets: int = 1024, inherited: socket.socket | None = None) -> None:
+        self.port, self.console, self.folder = free_port(), free_port(), folder
+        environ = {**os.environ, "GW_CONSOLE": f"127.0.0.1:{self.console}"}
+        if inherited is not None:
+            self.port = inherited.getsockname()[1]
+            environ["GW_INHERITED_FD"] = str(inherited.fileno())
         told = {
             "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": discovery.server.address,
             "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
@@ -183,7 +196,8 @@
         with self.log.open("wb") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "puffinpost"], cwd=ROOT, stderr=log,
-                env={**os.environ, "GW_CONFIG": str(folder / "config.json"),
+                pass_fds=() if inherited is None else (inherited.fileno(),),
+                env={**environ, "GW_CONFIG": str(folder / "config.json"),
                      "GW_DISCOVERY": discovery.server.address, "GW_EDGE": str(folder / "edge.toml")},
             )
         self.wait_log("listens on", 1 + edge.count("listen ="))
@@ -194,6 +208,24 @@
             assert self.process.poll() is None and time.monotonic() < until, self.log.read_text()
             time.sleep(0.01)
 
+    def call(self, method: str, path: str, more: str = "") -> tuple[int, str]:
+        """A call to the console: the answer's status and body."""
+        peer = self.client(f"{method} {path} HTTP/1.1\r\nHost: console\r\n{more}\r\n".encode(), self.console)
+        return answer_of(peer)
+
+    def figures(self) -> dict[str, int]:
+        """All figures, without the name's first part."""
+        lines = self.call("GET", "/metrics")[1].split()
+        return {name[4:]: int(figure.split("|")[0])
+                for name, figure in (line.rsplit(":", 1) for line in lines)}
+
+    def figure(self, name: str, wanted: int) -> None:
+        """Waits until a figure is as wanted."""
+        until = time.monotonic() + WAIT_S
+        while (now := self.figures())[name] != wanted:
+            assert time.monotonic() < until, now
+            time.sleep(0.01)
+
     def client(self, data: bytes = b"", port: int = 0) -> Peer:
         peer = Peer(socket.create_connection(("127.0.0.1", port or self.port)))
         peer.send(data)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -32,7 +32,8 @@
         self.said: list[str] = []
         self.relays: list[Relay] = []
         settings = parse_settings("\n".join(flatten(SETTINGS)))
-        self.core = Core(settings, 1, Inventory(("amman",), ("large",)), self, self, Counters())
+        self.core = Core(settings, ("live-text", "once"), 1, Inventory(("amman",), ("large",)), self, self,
+                         Counters())
         self.tell("up", "up")
 
     def tell(self, *statuses: str) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -223,7 +223,7 @@
 
 
 def test_clients_without_a_descriptor_are_told_to_come_back(world: World) -> None:
-    node = world.start(sockets=42)
+    node = world.start(sockets=56)
     standing: list[Peer] = []
     relays: list[Peer] = []  # kept, for one that is dropped is closed
     for _ in range(3):
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -23,7 +23,7 @@
     relay.line()
     relay.send(b"UP 1\r\n")
     assert client.line() == b"UP 1\r\n"
-    world.discovery.wait_calls(1)
+    world.discovery.wait_calls(2)
     old = Peer(world.discovery.links[0])
     successor = Discovery()
     for number, server in enumerate(world.servers):
@@ -36,10 +36,11 @@
     node.reload()  # once more, with nothing new: the watch goes on
     client.send(b"still here\r\n")
     assert relay.line() == b"still here\r\n"
+    calls = world.discovery.calls
     successor.tell(f"s-{world.servers.index(first)}", first.address, "draining")
     assert moved(client)
-    assert successor.asked == [-1, 2, 3] and world.discovery.calls == 1
-    assert node.counts()["reloads"] == 2
+    assert successor.asked == [-1, 2, 3] and world.discovery.calls == calls
+    assert node.counts()["cfg_accepted"] == 2
 
 
 @pytest.mark.parametrize("form", ["503", "silent"])
