--- a/puffinpost/__main__.py
+++ b/puffinpost/__main__.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from puffinpost import config, log
+from puffinpost.bans import Bans
 from puffinpost.core import Core
 from puffinpost.counters import Counters
 from puffinpost.fronts.platform import PlatformFront
@@ -34,6 +35,7 @@
 LAST_ANSWERS_S = 0.42  # for those that came last; what is left until SIGKILL is for the way out
 LAST_MOVE_S = 0.6  # before that: room for those that come up late, and for MOVE to be read
 TICK_S = 0.02
+BANS_S = 0.05  # how often the file of bans is looked at, for what another process of this node was told
 
 
 class LoopClock:
@@ -79,7 +81,8 @@
         self.places = Places(told.for_clients, self.counters, call_later)
         self.front = PlatformFront(self.core, dialler, self.places)
         self.xmpp = XmppFront(self.core, told.xmpp, dialler, self.places) if told.xmpp else None
-        self.console = Console(Operations(self.core, self._unready).answer, call_later)
+        self.bans = Bans(told.folder, told.name)
+        self.console = Console(Operations(self.core, self.bans, self._unready).answer, call_later)
         self.flows = FlowSink(told.flows, self.core) if told.flows else None
         if self.flows is not None:
             self.core.on_end.append(self.flows.ended)
@@ -106,7 +109,13 @@
 
     def _told(self, answer: dict[str, Any]) -> None:
         self.core.inventory_told(answer)
-        self.prober.forget(self.inventory.takes_work)
+        self.prober.forget(self.core.takes_work)
+
+    def _follow_bans(self) -> None:
+        asyncio.get_running_loop().call_later(BANS_S, self._follow_bans)
+        if self.bans.look():
+            self.core.follow_bans(self.bans.names)
+            self.prober.forget(self.core.takes_work)
 
     def _serve(self, link: Link, receiver: Receiver) -> None:
         task = asyncio.get_running_loop().create_task(link.run(receiver))
@@ -180,6 +189,8 @@
         else:
             # Nothing can be served yet, but the decisions have to be woken to ask for a list.
             self.core.inventory_failed()
+        self.core.follow_bans(self.bans.names)
+        self._follow_bans()
         self._open_console()
         listeners = self._listen()
         if self.config.counts_every_s:
--- a/puffinpost/config.py
+++ b/puffinpost/config.py
@@ -78,6 +78,7 @@
     flows: FlowsConfig | None = None
     counts_every_s: int = 0
     console: Address | None = None
+    folder: str = ""  # what the processes of this node share; empty: nothing
     inherited: int | None = None  # the descriptor of the listening socket, where the platform holds it
 
 
@@ -167,6 +168,7 @@
         flows=flows,
         counts_every_s=counts_every_s,
         console=console,
+        folder=environ.get("TMPDIR", ""),
         inherited=_inherited(environ),
     )
 
--- a/puffinpost/core.py
+++ b/puffinpost/core.py
@@ -176,6 +176,7 @@
         self.exchanges: dict[int, Exchange] = {}
         self._idents: set[int] = set()  # of messages that have not ended
         self.on_end: list[Callable[[Ended], None]] = []
+        self.banned: dict[str, int] = {}  # by discovery's name, since when
         self.able = False
         self.fresh = False  # discovery itself has told the list, since the start
         self._numbers = 0
@@ -200,6 +201,20 @@
         self.counters.add("inventory_failed")
         self._give(lambda: api.ServerList(api.ListKind.FAILED))
 
+    def follow_bans(self, banned: dict[str, int]) -> None:
+        """Operators' bans as they are now; the decisions are given what has changed."""
+        before, self.banned = self.banned, dict(banned)
+        for name in sorted(before.keys() | banned.keys()):
+            if (name in before) != (name in banned):
+                self._ban(self.inventory.identify(name), name in banned, banned.get(name, 0))
+
+    def _ban(self, server: api.ServerId, banned: bool, since_ns: int) -> None:
+        self._give(lambda: api.Banned(server, banned, since_ns))
+
+    def takes_work(self, server: api.ServerId) -> bool:
+        """Whether a transcriber may have anything new: discovery's last word, and the operators'."""
+        return self.inventory.takes_work(server) and self.inventory.name(server) not in self.banned
+
     def probed(self, server: api.ServerId, result: api.Result, took_ns: int,
                report: tuple[float, ...]) -> None:
         """A probe came back, or did not."""
@@ -276,10 +291,10 @@
     def may_write(self, relay: Relay) -> bool:
         """Whether a relay's first byte may go out.
 
-        Guards against a transcriber that discovery took off the list while its connection came up: what was
-        decided before is not sent after.
+        Guards against a transcriber that discovery took off the list, or operators banned, while its
+        connection came up: what was decided before is not sent after.
         """
-        return not relay.over and (relay.exchange.inherited or self.inventory.takes_work(relay.server))
+        return not relay.over and (relay.exchange.inherited or self.takes_work(relay.server))
 
     def left_ms(self, relay: Relay) -> int:
         """What a transcriber is told that the node will wait."""
--- a/puffinpost/interface.py
+++ b/puffinpost/interface.py
@@ -182,6 +182,15 @@
     lines: tuple[ServerLine, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Banned:
+    """Operators want nothing more sent to a server, or (``banned`` is false) call it back."""
+
+    server: ServerId
+    banned: bool
+    since_ns: int
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """A client wants a connection."""
@@ -271,7 +280,7 @@
 
 
 Event: TypeAlias = (
-    ServerList | Request | Inherited | Established | Outcome | ClientGone | TimerDue | ProbeResult
+    ServerList | Banned | Request | Inherited | Established | Outcome | ClientGone | TimerDue | ProbeResult
     | LoadNote | DelayNote
 )
 
--- a/puffinpost/inventory.py
+++ b/puffinpost/inventory.py
@@ -117,11 +117,12 @@
             if not isinstance(value, int | float) or not 0 <= value < 1e15:
                 raise InventoryError(f"{name}: {what} {value!r} is not a figure that can be right")
         return api.ServerLine(
-            self._id(name), _place(self.zones, entry.get("zone")), _place(self.kinds, entry.get("type")),
+            self.identify(name), _place(self.zones, entry.get("zone")), _place(self.kinds, entry.get("type")),
             int(cell), status, float(weight), int(since * 1_000_000),
         )
 
-    def _id(self, name: str) -> api.ServerId:
+    def identify(self, name: str) -> api.ServerId:
+        """The id of a transcriber, known or not."""
         known = self._ids.get(name)
         salt = 0
         while known is None:
--- a/puffinpost/operations.py
+++ b/puffinpost/operations.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from http import HTTPStatus
 
+from puffinpost import log
+from puffinpost.bans import Bans
 from puffinpost.core import Core
 from puffinpost.protocol.http import Answer, Call
 
@@ -15,8 +18,9 @@
 class Operations:
     """Answers calls. ``unready`` says why the node may not be called ready yet; empty where it is."""
 
-    def __init__(self, core: Core, unready: Callable[[], str]) -> None:
+    def __init__(self, core: Core, bans: Bans, unready: Callable[[], str]) -> None:
         self.core = core
+        self.bans = bans
         self.unready = unready
 
     def answer(self, call: Call) -> Answer:
@@ -26,6 +30,8 @@
                 return self._only(call, "GET", self._ready)
             case ["metrics"]:
                 return self._only(call, "GET", lambda: Answer(OK, self.figures()))
+            case ["transcribers", ("disable" | "enable") as what, name] if name:
+                return self._only(call, "POST", lambda: self._ban(name, what == "disable"))
         return Answer(HTTPStatus.NOT_FOUND, f"there is no {call.path[:80]}\n")
 
     def figures(self) -> str:
@@ -42,6 +48,19 @@
         return "".join(f"app.{name}:{value}|{kind}\n" for kind, values in (("c", counters), ("g", gauges))
                        for name, value in values.items())
 
+    def _ban(self, name: str, banned: bool) -> Answer:
+        """The ban is in the file, and in force here, before the caller has its yes."""
+        if self.core.inventory.find(name) is None and name not in self.bans.names:
+            return Answer(HTTPStatus.NOT_FOUND, f"there is no transcriber {name[:80]}\n")
+        try:
+            self.bans.change(name, time.time_ns() if banned else None)
+        except OSError as problem:
+            log.say(f"bans: {problem}")
+            return Answer(HTTPStatus.INTERNAL_SERVER_ERROR, f"the ban cannot be kept: {problem.strerror}\n")
+        self.core.follow_bans(self.bans.names)
+        log.say(f"operators {'ban' if banned else 'call back'} {name}")
+        return Answer(OK, f"{name} is {'banned' if banned else 'in use'}\n")
+
     @staticmethod
     def _only(call: Call, method: str, answer: Callable[[], Answer]) -> Answer:
         allowed = ("GET", "HEAD") if method == "GET" else (method,)
--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -16,9 +16,9 @@
 import random
 
 from puffinpost.interface import (
-    NEVER_RAN, Action, Cancel, ClientGone, DelayNote, Effect, Established, Event, Fail, Inherited, ListKind,
-    LoadNote, Log, Move, Outcome, Probe, ProbeResult, Refuse, Request, RequestClass, RequestId, Result, Scope,
-    Send, ServerId, ServerLine, ServerList, Settings, Status, Subscribe, Timer, TimerDue,
+    NEVER_RAN, Action, Banned, Cancel, ClientGone, DelayNote, Effect, Established, Event, Fail, Inherited,
+    ListKind, LoadNote, Log, Move, Outcome, Probe, ProbeResult, Refuse, Request, RequestClass, RequestId, Result,
+    Scope, Send, ServerId, ServerLine, ServerList, Settings, Status, Subscribe, Timer, TimerDue,
 )
 
 # --- constants --------------------------------------------------------------------------------------
@@ -84,10 +84,10 @@
     """What this balancer knows of one server."""
 
     __slots__ = (
-        "aside_until", "budget", "budget_ns", "cell", "down", "faults", "fills", "groups", "held", "id",
-        "kind", "lot", "leave_ns", "listed", "load", "load_ns", "moved_load", "moved_ns", "own", "own_load",
-        "placements", "probe_out", "probed_ns", "salt", "started_ns", "trusted_ns", "watchers", "weight",
-        "zone",
+        "aside_until", "budget", "budget_ns", "cell", "cold_ns", "down", "faults", "fills", "groups", "held",
+        "id", "kind", "lot", "leave_ns", "listed", "load", "load_ns", "moved_load", "moved_ns", "own",
+        "own_load", "placements", "probe_out", "probed_ns", "salt", "started_ns", "trusted_ns", "watchers",
+        "weight", "zone",
     )
 
     def __init__(self, line: ServerLine) -> None:
@@ -97,7 +97,8 @@
         self.kind = line.kind
         self.cell = line.cell
         self.weight = line.weight
-        self.started_ns = 0
+        self.started_ns = 0  # as the list has it
+        self.cold_ns = 0  # since when it counts as cold; 0: it does not
         self.listed = True
         self.down = False  # told that it drains or is gone
         self.load: float | None = None  # last reported load over capacity
@@ -169,6 +170,8 @@
         self.actions: list[Action] = []
         self.servers: dict[ServerId, Server] = {}
         self.list_version = 0
+        self.banned: dict[ServerId, int] = {}  # by hand, since when
+        self.called: list[ServerId] = []  # back, and not used again yet
         self.flows: dict[RequestId, Flow] = {}
         self.waiting: dict[RequestId, Flow] = {}  # held: nothing to send them to yet
         self.aim_ns = min(item.aim_ns for item in settings.classes)
@@ -218,6 +221,8 @@
                 self._on_delay_note(event)
             case ServerList():
                 self._on_list(event)
+            case Banned():
+                self._on_banned(event)
             case ClientGone():
                 self._on_client_gone(event)
             case Inherited():
@@ -287,19 +292,49 @@
         if line.started_ns != server.started_ns:
             server.started_ns = line.started_ns
             if line.started_ns:
-                # A new process: what was known of the old one is void, and it starts cold.
-                server.load, server.fills, server.faults, server.aside_until = None, 0.0, 0, 0
-                server.placements.clear()
-                server.budget, server.budget_ns = self.chance.random(), self.now
+                self._starts_cold(server, line.started_ns, self.chance.random())
+
+    def _starts_cold(self, server: Server, since_ns: int, budget: float) -> None:
+        """A new process: what was known of the old one is void, and it starts cold."""
+        server.load, server.fills, server.faults, server.aside_until = None, 0.0, 0, 0
+        server.placements.clear()
+        server.cold_ns, server.budget, server.budget_ns = since_ns, budget, self.now
+
+    def _on_banned(self, event: Banned) -> None:
+        """Operators ban a server, whatever the list says, or call it back.
+
+        They restart it meanwhile, so its connections are moved away, and it comes back cold: since now,
+        unless the list has told of a start during the ban. It has the first connection that there is, for
+        nothing else shows that it is back.
+        """
+        server = self.servers.get(event.server)
+        if event.banned:
+            self.banned.setdefault(event.server, event.since_ns)
+            if event.server in self.called:
+                self.called.remove(event.server)
+            if server is not None:
+                server.leave_ns = self.now + int(LEAVE_AIMS * self.aim_ns)
+            return
+        since = self.banned.pop(event.server, None)
+        if since is None or server is None:
+            return
+        known = server.started_ns > since
+        self._starts_cold(server, server.started_ns if known else self.now, 1.0)
+        self.called.append(event.server)
+        self._place_waiting()
+
+    def _off(self, server: Server) -> bool:
+        """Whether a server is told to be left out, by the list or by hand."""
+        return server.down or server.id in self.banned
 
     def _is_cold(self, server: Server) -> bool:
-        return server.started_ns > 0 and self.now < server.started_ns + self.settings.warm_within_ns
+        return server.cold_ns > 0 and self.now < server.cold_ns + self.settings.warm_within_ns
 
     def _warmth(self, server: Server) -> float:
         """The least part of its capacity that a server has by now: the climb is never slower than even."""
         if not self._is_cold(server):
             return 1.0
-        part = max(0, self.now - server.started_ns) / self.settings.warm_within_ns
+        part = max(0, self.now - server.cold_ns) / self.settings.warm_within_ns
         return self.settings.cold_from + (1.0 - self.settings.cold_from) * part
 
     def _cold_room(self, server: Server) -> bool:
@@ -313,7 +348,7 @@
             return True
         rules = self.settings
         if self.full_connections is None:
-            return False
+            return server.id in self.called and server.budget >= 1.0
         full = self.full_connections * server.weight
         rate = full / rules.warm_within_ns * self._warmth(server) * rules.fall_multiple * COLD_SAFETY
         server.budget = min(1.5, server.budget + rate / rules.balancers * (self.now - server.budget_ns))
@@ -401,7 +436,7 @@
         self.learned = sum(server.fills > 0 for server in self.servers.values())
         held_told = held_own = 0.0
         for server in self.servers.values():
-            if server.down:
+            if self._off(server):
                 continue
             weight += server.weight
             if server.load is None:
@@ -523,6 +558,9 @@
             # Nothing is well and untried: one that was tried or put aside is better than none.
             picked = [it for it in flow.near + flow.far if self._may_send(flow, it) and self._cold_room(it)]
             picked = picked[:CHOICES]
+        if self.called and flow.drawn == 0:
+            picked += [it for it in flow.near + flow.far if it.id in self.called and it not in picked
+                       and it.aside_until <= self.now and self._may_send(flow, it) and self._cold_room(it)]
         return picked
 
     def _load(self, server: Server) -> float:
@@ -570,11 +608,15 @@
         open_ones = [it for it in answering if self._has_room(it, flow)]
         if not open_ones:
             return None
-        return max(open_ones, key=lambda it: (self._score(it, flow), self.chance.random()))
+        return max(open_ones, key=lambda it: (
+            it.id in self.called, self._score(it, flow), self.chance.random()
+        ))
 
     def avoided(self) -> int:
         """How many of the servers on the list get nothing new now."""
-        return sum(it.listed and (it.down or it.aside_until > self.now) for it in self.servers.values())
+        return sum(
+            it.listed and (self._off(it) or it.aside_until > self.now) for it in self.servers.values()
+        )
 
     # --- health -------------------------------------------------------------------------------------
 
@@ -591,7 +633,7 @@
     def _on_delay_note(self, event: DelayNote) -> None:
         """Messages take long at a server: its report is asked for first."""
         server = self.servers.get(event.server)
-        if server is not None and not server.down and self.can_probe and self._may_probe(server):
+        if server is not None and self.can_probe and self._may_probe(server):
             self._probe(server)
 
     # --- request life cycle: attempts, deadlines, effect kinds, final answer ------------------------
@@ -665,7 +707,7 @@
 
     def _may_send(self, flow: Flow, server: Server) -> bool:
         """Whether the four rules allow this request's next attempt at this server."""
-        if server.down or not server.listed:
+        if self._off(server) or not server.listed:
             return False
         if flow.maybe_server is None or flow.klass.effect is Effect.SAFE:
             return True
@@ -684,6 +726,8 @@
         server = self.servers.get(event.server)
         if server is not None:
             self._well(server)
+            if server.id in self.called:
+                self.called.remove(server.id)
         if flow is None or not flow.out or event.attempt != flow.attempts - 1:
             return
         if not flow.standing:
@@ -796,7 +840,7 @@
 
     def _may_probe(self, server: Server) -> bool:
         stale = server.probed_ns < 0 or self.now - server.probed_ns >= FRESH_AIMS * self.aim_ns
-        return stale and not server.probe_out and self.probe_credit >= 1.0
+        return stale and not server.probe_out and self.probe_credit >= 1.0 and not self._off(server)
 
     def _probe(self, server: Server) -> None:
         self.probe_credit -= 1.0
@@ -821,7 +865,7 @@
         """Asks the servers whose reports are oldest, as far as the traffic's budget goes."""
         if not self.can_probe or self.probe_credit < PROBES_SAVED / 2:
             return
-        due = [item for item in self.servers.values() if not item.down and not item.probe_out]
+        due = [item for item in self.servers.values() if not self._off(item) and not item.probe_out]
         due.sort(key=lambda item: item.probed_ns)
         for server in due[:int(self.probe_credit - PROBES_SAVED / 2)]:
             if self._may_probe(server):
@@ -853,7 +897,7 @@
         moves the same part of its own connections there, so that together they move about what is too
         much; then none moves more until a report can show it.
         """
-        if server.load is None or self.now < server.moved_ns or server.down:
+        if server.load is None or self.now < server.moved_ns or self._off(server):
             return
         mean = self.mean_load
         if mean <= ROOMY:
@@ -879,13 +923,14 @@
         server.moved_load = server.load
 
     def _leave_drained(self) -> None:
-        """Moves connections off servers that drain.
+        """Moves connections off servers that drain or are banned.
 
         Guards against connections that are cut off when such a server stops. They are spread over a while:
         all at once they would be set up anew all at once.
         """
         for server in self.servers.values():
-            if not (server.down and server.listed and server.own):
+            leaves = (server.down and server.listed) or server.id in self.banned
+            if not (leaves and server.own):
                 continue
             standing = [flow for flow in server.own.values() if flow.standing and not flow.over]
             left = max(self.tick_ns, server.leave_ns - self.now)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -181,7 +181,8 @@
     def __init__(self, folder: Path, discovery: Discovery, settings: dict[str, Any] | None = None,
                  edge: str = "", sockets: int = 1024, inherited: socket.socket | None = None) -> None:
         self.port, self.console, self.folder = free_port(), free_port(), folder
-        environ = {**os.environ, "GW_CONSOLE": f"127.0.0.1:{self.console}"}
+        environ = {**os.environ, "GW_CONSOLE": f"127.0.0.1:{self.console}",
+                   "TMPDIR": str(folder)}
         if inherited is not None:
             self.port = inherited.getsockname()[1]
             environ["GW_INHERITED_FD"] = str(inherited.fileno())
--- /dev/null
+++ b/tests/test_bans.py
@@ -0,0 +1,150 @@
+"""A transcriber banned by hand: nothing more goes to it until the call back, whatever the list says."""
+
+from __future__ import annotations
+
+import json
+import time
+from pathlib import Path
+
+import pytest
+from conftest import World
+from standins import Node
+from test_node import OPEN, first_of, fresh, served
+from world import PLAIN, S, Driver, line, of, only
+
+from puffinpost import interface as api
+from puffinpost.bans import Bans
+
+
+def ban(node: Node, number: int, what: str = "disable") -> int:
+    return node.call("POST", f"/transcribers/{what}/s-{number}")[0]
+
+
+def refused(node: Node) -> None:
+    """A client that nothing can serve has its answer."""
+    assert node.client(fresh(OPEN % 700)).line().startswith(b"BUSY")
+
+
+def test_nothing_goes_to_a_banned_one_until_the_call_back(world: World) -> None:
+    node = world.start(1)
+    client = node.client(fresh(OPEN % 3000))
+    relay = served(world, client)
+    assert ban(node, 0) == 200 and ban(node, 0) == 200
+    assert client.line() == b"MOVE\r\n" and relay.ending() == "end"
+    world.discovery.tell("s-0", world.servers[0].address)  # the list cannot lift it
+    refused(node)
+    assert not world.servers[0].asked() and node.figures()["out_of_rotation"] == 1
+    assert ban(node, 0, "enable") == 200 and ban(node, 0, "enable") == 200
+    client = node.client(fresh(OPEN % 3000))
+    assert served(world, client) and node.figures()["out_of_rotation"] == 0
+
+
+def test_ids_that_nobody_has_are_a_no(world: World) -> None:
+    node = world.start(1)
+    for name in ("s-9", "s-%39"):
+        assert node.call("POST", f"/transcribers/disable/{name}")[0] == 404
+    assert node.call("GET", "/transcribers/disable/s-0")[0] == 405
+    client = node.client(fresh(OPEN % 3000))
+    assert served(world, client)
+
+
+def test_a_ban_outlives_the_list_and_the_process(world: World) -> None:
+    node = world.start()
+    assert ban(node, 0) == 200
+    world.discovery.tell("s-0", world.servers[0].address, "removed")
+    node.figure("registry_entries", 1)
+    assert node.stop() == 0
+    world.discovery.tell("s-0", world.servers[0].address)
+    again = world.start()
+    clients = [again.client(fresh(OPEN % 3000)) for _ in range(8)]
+    relays = [served(world, client) for client in clients]
+    assert not world.servers[0].asked() and len(relays) == 8
+    assert ban(again, 0, "enable") == 200 and ban(again, 1) == 200
+    late = again.client(fresh(OPEN % 3000))
+    assert first_of(world.servers[:1]) and late
+
+
+def test_two_processes_follow_one_file(world: World) -> None:
+    nodes = [world.start(1), world.start(1)]
+    assert ban(nodes[0], 0) == 200
+    nodes[1].figure("out_of_rotation", 1)
+    refused(nodes[1])
+    assert ban(nodes[1], 0, "enable") == 200
+    nodes[0].figure("out_of_rotation", 0)
+
+
+@pytest.mark.parametrize("damage", ["", "{", "[]", '{"s-0": "x"}', "gone"])
+def test_a_damaged_file_is_mended_from_what_is_known(world: World, damage: str) -> None:
+    node = world.start(1)
+    assert ban(node, 0) == 200
+    path = next(world.folder.glob("*.bans"))
+    if damage == "gone":
+        path.unlink()
+    else:
+        path.write_text(damage)
+    until = time.monotonic() + 10
+    while not path.exists() or path.read_text() == damage:
+        assert time.monotonic() < until
+        time.sleep(0.01)
+    assert list(json.loads(path.read_text())) == ["s-0"]
+    refused(node)
+
+
+def test_a_file_that_is_damaged_at_the_start_ends_nothing(tmp_path: Path) -> None:
+    Bans(str(tmp_path), "n0").change("s-0", 5)
+    path = next(tmp_path.glob("*.bans"))
+    path.write_bytes(b"\xff\x00")
+    bans = Bans(str(tmp_path), "n0")
+    assert bans.names == {} and path.read_bytes() == b"{}"
+    bans.change("s-1", 7)
+    assert Bans(str(tmp_path), "n0").names == {"s-1": 7}
+
+
+def test_a_ban_that_cannot_be_kept_is_a_no(world: World) -> None:
+    node = world.start(1)
+    (world.folder / "puffinpost-n0.lock").mkdir()
+    assert ban(node, 0) == 500 and node.figures()["out_of_rotation"] == 0
+
+
+# --- the decisions ----------------------------------------------------------------------------------
+
+
+def test_a_banned_server_gets_no_request_and_no_probe_and_its_connections_move() -> None:
+    world = Driver(PLAIN, line(1), line(2))
+    seen = {world.open().server for _ in range(8)}
+    assert seen == {1, 2}
+    world.give(api.Banned(1, True, world.now))
+    got = world.run(3 * S)
+    assert of(got, api.Move) and not any(probe.server == 1 for probe in of(got, api.Probe))
+    world.give(api.ServerList(api.ListKind.FULL, (line(1, started_ns=world.now), line(2))))
+    assert {only(world.ask(), api.Send).server for _ in range(8)} == {2}
+    assert world.balancer.avoided() == 1
+
+
+@pytest.mark.parametrize("told", ["nothing", "a start", "a start later"])
+def test_at_the_call_back_it_is_cold_and_has_the_first_connection(told: str) -> None:
+    world = Driver(PLAIN, line(1), line(2, zone=1))
+    for server in (1, 2):
+        world.report(server, 0.5, 4.0)
+    world.give(api.Banned(2, True, world.now))
+    world.run(3 * S)
+    started = world.now
+    if told == "a start":
+        world.give(api.ServerList(api.ListKind.DELTA, (line(2, zone=1, started_ns=started),)))
+    world.run(4 * S)
+    world.give(api.Banned(2, False, 0))
+    back = world.now
+    assert world.open().server == 2
+    assert world.open().server == 1  # one is enough to show that it is back
+    if told == "a start later":
+        world.give(api.ServerList(api.ListKind.DELTA, (line(2, zone=1, started_ns=started),)))
+    assert world.balancer.servers[2].cold_ns == (back if told == "nothing" else started)
+
+
+def test_a_ban_of_one_that_is_not_on_the_list_holds_when_it_comes() -> None:
+    world = Driver(PLAIN, line(1))
+    world.give(api.Banned(3, True, world.now))
+    world.give(api.ServerList(api.ListKind.DELTA, (line(3),)))
+    assert {only(world.ask(), api.Send).server for _ in range(8)} == {1}
+    world.give(api.Banned(3, False, 0))
+    assert only(world.ask(), api.Send).server == 3
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -82,6 +82,16 @@
         self.said.append("moved")
 
 
+def test_a_transcriber_that_is_banned_while_its_relay_connects_gets_no_byte() -> None:
+    stage = Stage()
+    stage.core.open(Message(0, 3000 * MS), stage)
+    [relay] = stage.relays
+    stage.core.follow_bans({stage.core.inventory.name(relay.server): 1})
+    assert not stage.core.may_write(relay)
+    stage.core.ended(relay, api.Result.CONNECT_FAILED)
+    assert len(stage.relays) == 2 and stage.core.may_write(stage.relays[1])
+
+
 def test_a_transcriber_that_drains_while_its_relay_connects_gets_no_byte() -> None:
     stage = Stage()
     stage.core.open(Message(0, 3000 * MS), stage)
