--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -17,8 +17,8 @@
 
 from puffinpost.interface import (
     NEVER_RAN, Action, Banned, Cancel, ClientGone, DelayNote, Effect, Established, Event, Fail, Inherited,
-    ListKind, LoadNote, Log, Move, Outcome, Probe, ProbeResult, Refuse, Request, RequestClass, RequestId, Result,
-    Scope, Send, ServerId, ServerLine, ServerList, Settings, Status, Subscribe, Timer, TimerDue,
+    ListKind, LoadNote, Log, Move, Outcome, Probe, ProbeResult, Refuse, Request, RequestClass, RequestId,
+    Result, Scope, Send, ServerId, ServerLine, ServerList, Settings, Status, Subscribe, Timer, TimerDue,
 )
 
 # --- constants --------------------------------------------------------------------------------------
