--- a/puffinpost/__main__.py
+++ b/puffinpost/__main__.py
@@ -72,7 +72,7 @@
         self.inventory = Inventory(told.zones, told.kinds)
         self.core = Core(told.settings, told.classes, told.seed, self.inventory, LoopClock(), self,
                          self.counters)
-        self.prober = Prober(told.settings.report_fields, self.core.probed)
+        self.prober = Prober(lambda: self.core.settings.report_fields, self.core.probed)
         self.watch = Watch(
             told.discovery, lambda: self.inventory.index, self._told, self.core.inventory_failed
         )
@@ -164,7 +164,9 @@
         self.counters.add("cfg_accepted")
         host, port = self.config.discovery
         waiting = f"; cannot change while running: {', '.join(waits)}" if waits else ""
-        log.say(f"reload: discovery at {host}:{port}{waiting}")
+        classes = ", ".join(name for name in self.config.classes if name not in self.config.closed)
+        log.say(f"reload: discovery at {host}:{port}, classes {classes}{waiting}")
+        self.core.retune(self.config.settings, self.config.classes, self.config.closed)
         self.watch.redirect(self.config.discovery)
 
     def _say_counts(self) -> None:
@@ -203,7 +205,7 @@
 
     async def _leave(self, listeners: list[Listener]) -> None:
         """Answers what still comes, moves what stands, and ends before it would be killed."""
-        longest = max(item.deadline_ns for item in self.config.settings.classes) / 1e9
+        longest = max(item.deadline_ns for item in self.core.settings.classes) / 1e9
         began = time.monotonic()
         end = began + min(longest, MOST_DEADLINE_S) + LAST_ANSWERS_S
         # As long as there is: all that are moved are set up anew at transcribers that have other work.
--- a/puffinpost/config.py
+++ b/puffinpost/config.py
@@ -73,6 +73,8 @@
     sockets: int
     for_clients: int  # of these, what the north side may have, and its relays
     discovery_in_file: str = ""  # as the file has it, whatever the environment says
+    closed: frozenset[str] = frozenset()  # classes that a later file has not: they take nothing new
+    raw: dict[str, Any] = field(default_factory=dict)  # the file in force
     known: dict[str, Any] = field(default_factory=dict)
     xmpp: XmppConfig | None = None
     flows: FlowsConfig | None = None
@@ -134,6 +136,9 @@
         settings = parse_settings("\n".join(flatten(raw)))
     except ValueError as problem:
         raise ConfigError(str(problem)) from None
+    classes = tuple(str(item.get("Name", "")) for item in raw.get("Classes", []))
+    if len(set(classes)) < len(classes):
+        raise ConfigError(f"settings.Classes: two have one Name: {', '.join(classes)}")
     try:
         seed = int(str(told.get("seed", "0")), 16)
     except ValueError:
@@ -157,12 +162,13 @@
         discovery=address("GW_DISCOVERY", "discovery"),
         seed=seed,
         settings=settings,
-        classes=tuple(str(item.get("Name", "")) for item in raw.get("Classes", [])),
+        classes=classes,
         zones=tuple(str(item) for item in raw.get("Dcs", [])),
         kinds=tuple(str(item) for item in raw.get("Kinds", [])),
         sockets=sockets,
         for_clients=sockets - own,
         discovery_in_file=str(told.get("discovery", "")),
+        raw=told,
         known=_of(told, "known", dict, {}),
         xmpp=xmpp,
         flows=flows,
@@ -190,9 +196,10 @@
     """What is in force once the file is read again, and the keys of what is new but waits for a restart.
 
     The environment of a process stays what it was, so a `discovery` that is new in the file goes before
-    ``GW_DISCOVERY``. Nothing else changes in a node that runs. Raises ``ConfigError``.
+    ``GW_DISCOVERY``. Raises ``ConfigError``, and then nothing of the file is in force.
     """
     read = load(environ)
+    _compare(now.raw, read.raw, "")
     discovery = now.discovery
     if read.discovery_in_file != now.discovery_in_file:
         try:
@@ -200,10 +207,44 @@
         except ValueError as problem:
             raise ConfigError(f"discovery: {problem}") from None
     # `known` and the seed are for a start: the node has had better news, and more chance, since.
-    fixed = ("name", "listen", "settings", "classes", "zones", "kinds", "sockets", "flows", "counts_every_s",
-             "console")
+    fixed = ("name", "listen", "sockets", "flows", "counts_every_s", "console")
     waits = [name for name in fixed if getattr(read, name) != getattr(now, name)]
-    return replace(now, discovery=discovery, discovery_in_file=read.discovery_in_file), waits
+    place = {name: getattr(now.settings, name) for name in ("me", "zone", "zones", "kinds")}
+    if (now.zones, now.kinds) != (read.zones, read.kinds) or any(
+        getattr(read.settings, name) != value for name, value in place.items()
+    ):
+        waits.append("the node's place and the zones and kinds in settings")
+    told = dict(zip(read.classes, read.settings.classes, strict=True))
+    merged = {**dict(zip(now.classes, now.settings.classes, strict=True)), **told}
+    return replace(
+        now, discovery=discovery, discovery_in_file=read.discovery_in_file, raw=read.raw,
+        settings=replace(read.settings, classes=tuple(merged.values()), **place),
+        classes=tuple(merged), closed=frozenset(merged.keys() - told.keys()),
+    ), waits
+
+
+def _compare(old: Any, new: Any, path: str) -> None:
+    """Guards against a file that was cut or is half written.
+
+    It has all keys of the one in force, and each is of the same type. `known` is for a start only.
+    """
+    if old is None:
+        return
+    if _type(old) is not _type(new):
+        raise ConfigError(f"{path}: {'is missing' if new is None else f'{new!r} is not of the type it was'}")
+    dot = f"{path}." if path else ""
+    if isinstance(old, dict):
+        for key, value in old.items():
+            if key != "known" or path:
+                _compare(value, new.get(key), f"{dot}{key}")
+    elif isinstance(old, list) and old and all(isinstance(item, dict) for item in old):
+        common = {key: value for key, value in old[0].items() if all(key in item for item in old)}
+        for number, item in enumerate(new):
+            _compare(common, item, f"{dot}{number}")
+
+
+def _type(value: Any) -> type:
+    return float if isinstance(value, int) and not isinstance(value, bool) else type(value)
 
 
 def _of(table: dict[str, Any], key: str, kind: type, default: Any) -> Any:
--- a/puffinpost/core.py
+++ b/puffinpost/core.py
@@ -127,12 +127,14 @@
     """One message, from its arrival until its answer is given and its last relay is closed."""
 
     __slots__ = (
-        "answered", "at", "came_ns", "deadline_ns", "guard", "inherited", "message", "north", "number",
-        "octets_north", "octets_south", "relay", "relays", "sent", "standing", "up_ns",
+        "answered", "at", "came_ns", "deadline_ns", "guard", "inherited", "klass", "message", "north",
+        "number", "octets_north", "octets_south", "relay", "relays", "sent", "standing", "up_ns",
     )
 
-    def __init__(self, number: int, message: Message, north: North, now: int) -> None:
+    def __init__(self, number: int, message: Message, klass: api.RequestClass, north: North,
+                 now: int) -> None:
         self.number = number
+        self.klass = klass  # as it was when the message came
         self.message = message
         self.north = north
         self.came_ns = now
@@ -165,9 +167,7 @@
 
     def __init__(self, settings: api.Settings, class_names: tuple[str, ...], seed: int, inventory: Inventory,
                  clock: Clock, ports: Ports, counters: Counters) -> None:
-        self.settings = settings
-        self.class_names = class_names  # in the order of the settings' classes
-        self.classes = {name: number for number, name in enumerate(class_names)}
+        self._tune(settings, class_names, frozenset())
         self.inventory = inventory
         self.clock = clock
         self.ports = ports
@@ -182,11 +182,32 @@
         self._numbers = 0
         self._events: deque[Callable[[], api.Event]] = deque()
         self._busy = False
-        aims = [item.message_aim_ns for item in settings.classes if item.message_aim_ns > 0]
-        self._slow_ns = min(aims) // 3 if aims else 0
         self._noted: dict[api.ServerId, int] = {}  # slow transcribers, and when that was last noted
         clock.call_later(SWEEP_NS, self._sweep)
 
+    # --- settings -----------------------------------------------------------------------------------
+
+    def retune(self, settings: api.Settings, class_names: tuple[str, ...], closed: frozenset[str]) -> None:
+        """New settings are in force; what is under way keeps the class that it came under."""
+        self._tune(settings, class_names, closed)
+        self._give(lambda: api.Retuned(settings))
+
+    def _tune(self, settings: api.Settings, class_names: tuple[str, ...], closed: frozenset[str]) -> None:
+        self.settings = settings
+        self.class_names = class_names  # in the order of the settings' classes
+        self.classes = {name: number for number, name in enumerate(class_names)}
+        self.closed = closed  # classes that take no new message
+        aims = [item.message_aim_ns for item in settings.classes if item.message_aim_ns > 0]
+        self._slow_ns = min(aims) // 3 if aims else 0
+
+    def class_of(self, name: str) -> int | None:
+        """The number of a class that a new message names; None where it cannot be served."""
+        klass = self.classes.get(name)
+        if klass is not None and name in self.closed:
+            self.tally("faulted", klass)
+            return None
+        return klass
+
     # --- the inventory ------------------------------------------------------------------------------
 
     def inventory_told(self, told: dict[str, Any], cached: bool = False) -> None:
@@ -249,7 +270,9 @@
                 raise DuplicateError("the id is that of a message that has not ended")
             self._idents.add(ident)
         self._numbers += 1
-        exchange = self.exchanges[self._numbers] = Exchange(self._numbers, message, north, self.clock.now())
+        klass = self.settings.classes[message.klass]
+        exchange = Exchange(self._numbers, message, klass, north, self.clock.now())
+        self.exchanges[self._numbers] = exchange
         self.counters.add("messages")
         return exchange
 
@@ -387,7 +410,7 @@
         self._answer(exchange.number, "refused" if self._harmless(exchange) else "failed", 0)
 
     def _harmless(self, exchange: Exchange) -> bool:
-        return self.settings.classes[exchange.message.klass].effect is api.Effect.SAFE
+        return exchange.klass.effect is api.Effect.SAFE
 
     # --- within -------------------------------------------------------------------------------------
 
--- a/puffinpost/fronts/platform.py
+++ b/puffinpost/fronts/platform.py
@@ -24,10 +24,13 @@
         self.core = core
         self.dialler = dialler
         self.places = places
-        self.full = lines.refusal(PAUSE_MS if core.settings.pauses else 0)
-        self.groups = core.settings.groups
         self.leaving = False
 
+    @property
+    def full(self) -> bytes:
+        """The answer where there is no room."""
+        return lines.refusal(PAUSE_MS if self.core.settings.pauses else 0)
+
     def accept(self, link: Link) -> Session:
         """A client has connected; the caller runs the link with the session."""
         session = Session(self, link)
@@ -40,13 +43,13 @@
 
     def message(self, opening: lines.Opening, source: tuple[str, int]) -> Message:
         """A first line in the core's terms. ``LineError`` where its class is unknown."""
-        klass = self.core.classes.get(opening.klass)
+        klass = self.core.class_of(opening.klass)
         if klass is None:
             raise lines.LineError(f"class {opening.klass[:40]!r} is unknown")
         # One that stood before the node's start has no such limit: whoever brings it back waits as it likes.
         if not 0 < opening.wait_ms <= LONGEST_WAIT_MS and opening.at is None:
             raise lines.LineError(f"d={opening.wait_ms} is no time that a client waits")
-        group = opening.group if self.groups else 0
+        group = opening.group if self.core.settings.groups else 0
         return Message(
             klass, opening.wait_ms * 1_000_000, opening.key, group, opening.load, opening.retry,
             opening.returning, source, opening.ident,
--- a/puffinpost/fronts/xmpp.py
+++ b/puffinpost/fronts/xmpp.py
@@ -61,7 +61,7 @@
     def message(self, element: xmpp.Element, source: tuple[str, int]) -> Message:
         """What an ``open`` asks for, in the core's terms."""
         given = element.attributes
-        klass = self.core.classes.get(given.get("class", ""))
+        klass = self.core.class_of(given.get("class", ""))
         if klass is None:
             raise BadRequest("class is missing or unknown")
         wait = _number(given, "wait", 10, LONGEST_WAIT_MS)
--- a/puffinpost/interface.py
+++ b/puffinpost/interface.py
@@ -191,6 +191,13 @@
     since_ns: int
 
 
+@dataclass(frozen=True, slots=True)
+class Retuned:
+    """New settings are in force. A class that was there has its index still."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """A client wants a connection."""
@@ -280,8 +287,8 @@
 
 
 Event: TypeAlias = (
-    ServerList | Banned | Request | Inherited | Established | Outcome | ClientGone | TimerDue | ProbeResult
-    | LoadNote | DelayNote
+    ServerList | Banned | Retuned | Request | Inherited | Established | Outcome | ClientGone | TimerDue
+    | ProbeResult | LoadNote | DelayNote
 )
 
 
--- a/puffinpost/net/probes.py
+++ b/puffinpost/net/probes.py
@@ -20,7 +20,7 @@
 class Prober:
     """Keeps a connection for each transcriber that is probed. The decisions send one probe at a time."""
 
-    def __init__(self, fields: tuple[str, ...], done: Done) -> None:
+    def __init__(self, fields: Callable[[], tuple[str, ...]], done: Done) -> None:
         self.fields = fields
         self.done = done
         self._links: dict[ServerId, tuple[tuple[str, int], Link]] = {}
@@ -73,5 +73,5 @@
         line = await link.stream.read_until(b"\n", max_bytes=lines.LONGEST_LINE)
         word = lines.word_of(line)
         if word is lines.Word.PONG:
-            return Result.SERVED, lines.report_of(line, self.fields)
+            return Result.SERVED, lines.report_of(line, self.fields())
         return (Result.REJECTED if word is lines.Word.BUSY else Result.ERROR), ()
--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -18,7 +18,8 @@
 from puffinpost.interface import (
     NEVER_RAN, Action, Banned, Cancel, ClientGone, DelayNote, Effect, Established, Event, Fail, Inherited,
     ListKind, LoadNote, Log, Move, Outcome, Probe, ProbeResult, Refuse, Request, RequestClass, RequestId,
-    Result, Scope, Send, ServerId, ServerLine, ServerList, Settings, Status, Subscribe, Timer, TimerDue,
+    Result, Retuned, Scope, Send, ServerId, ServerLine, ServerList, Settings, Status, Subscribe, Timer,
+    TimerDue,
 )
 
 # --- constants --------------------------------------------------------------------------------------
@@ -164,7 +165,7 @@
     """Decides for one balancer. `handle` takes one event and returns the actions that answer it."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        self.settings = settings
+        self._tune(settings)
         self.chance = random.Random(seed)
         self.now = 0
         self.actions: list[Action] = []
@@ -174,8 +175,6 @@
         self.called: list[ServerId] = []  # back, and not used again yet
         self.flows: dict[RequestId, Flow] = {}
         self.waiting: dict[RequestId, Flow] = {}  # held: nothing to send them to yet
-        self.aim_ns = min(item.aim_ns for item in settings.classes)
-        self.tick_ns = max(settings.round_ns, self.aim_ns // TICKS_PER_AIM)
         self.ticking = False
         self.told_load = 0.0  # running sum and count of told loads
         self.told_count = 0.0
@@ -193,6 +192,12 @@
         self.probe_credit = PROBES_SAVED
         self.ask_ns: int | None = None
         self.list_fails = 0  # calls for the list in a row that failed
+
+    def _tune(self, settings: Settings) -> None:
+        """Settings come into force, at the start or later. A request keeps the class that it came under."""
+        self.settings = settings
+        self.aim_ns = min(item.aim_ns for item in settings.classes)
+        self.tick_ns = max(settings.round_ns, self.aim_ns // TICKS_PER_AIM)
         self.can_probe = settings.probes and len(settings.report_fields) > 0
         self.load_field = self._field(settings.report_fields, "x0", "load_share")
         self.held_field = self._field(settings.report_fields, "concurrent", "inflight")
@@ -223,6 +228,8 @@
                 self._on_list(event)
             case Banned():
                 self._on_banned(event)
+            case Retuned(settings):
+                self._tune(settings)
             case ClientGone():
                 self._on_client_gone(event)
             case Inherited():
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import json
 import time
+from typing import Any
 
 import pytest
 from conftest import World
-from standins import Discovery, Peer
+from standins import SETTINGS, Discovery, Node, Peer
 from test_node import OPEN, first_of, fresh, served
 
 
@@ -61,7 +63,7 @@
 
 
 @pytest.mark.parametrize(("text", "names"), [
-    ("{", "GW_CONFIG"), ("[]", "GW_CONFIG"), ('{"settings": {}}', "Classes.count"),
+    ("", "GW_CONFIG"), ("{", "GW_CONFIG"), ("[]", "GW_CONFIG"), ('{"settings": {}}', "Classes.count"),
 ])
 def test_a_bad_file_is_named_and_the_old_one_stays_in_force(world: World, text: str, names: str) -> None:
     node = world.start()
@@ -77,9 +79,92 @@
 
 def test_what_cannot_change_is_named(world: World) -> None:
     node = world.start()
-    node.reload(limits={"sockets": 500}, name="other", discovery="nowhere")
+    node.reload(limits={"cores": 1.0, "memory_mb": 192, "sockets": 500}, name="other", discovery="nowhere")
     assert "discovery" in node.log.read_text().rsplit("reload: ", 1)[1]
     node.reload(discovery=world.discovery.server.address)
     said = node.log.read_text().rsplit("reload: ", 1)[1]
     assert "cannot change while running: name, sockets" in said
     assert node.process.poll() is None and node.stop() == 0
+
+
+LIVE, ONCE = SETTINGS["Classes"]
+
+
+def retuned(node: Node, classes: list[dict[str, Any]], **limits: Any) -> str:
+    """Has new settings read; what the log says of it."""
+    node.reload(settings={**SETTINGS, "Classes": classes, "Limits": {**SETTINGS["Limits"], **limits}})
+    return node.log.read_text().rsplit("reload: ", 1)[1]
+
+
+def of_class(name: str, wait: int = 3000) -> bytes:
+    return fresh(OPEN % wait).replace(b"live-text", name.encode())
+
+
+def test_classes_appear_and_vanish_and_what_is_under_way_goes_on(world: World) -> None:
+    node = world.start()
+    client = node.client(of_class("live-text"))
+    relay = served(world, client)
+    assert node.client(of_class("new")).line() == b"ERR\r\n"
+    retuned(node, [ONCE, {**LIVE, "Name": "new"}])
+    client.send(b"still here\r\n")
+    assert relay.line() == b"still here\r\n"
+    newcomer = node.client(of_class("new"))
+    assert served(world, newcomer)
+    assert node.client(of_class("live-text")).line() == b"ERR\r\n"
+    figures = node.figures()
+    assert figures["operations.new.fulfilled"] == 1 and figures["operations.once.fulfilled"] == 0
+    assert figures["operations.live-text.fulfilled"] == figures["operations.live-text.faulted"] == 1
+    retuned(node, [LIVE, ONCE])
+    again = node.client(of_class("live-text"))
+    assert served(world, again) and node.client(of_class("new")).line() == b"ERR\r\n"
+
+
+def test_a_stricter_effect_is_for_new_messages_and_fewer_attempts_for_all(world: World) -> None:
+    """One that came before may run again; one that came after may not."""
+    node = world.start()
+    clients, ends = [], []
+    for effect in ("safe", "unsafe"):
+        if effect == "unsafe":
+            retuned(node, [{**LIVE, "Repeat": "unsafe"}, ONCE])
+        clients.append(node.client(of_class("live-text")))
+        _, relay = first_of(world.servers)
+        relay.line()
+        ends.append(relay)
+    ends[1].send(b"ERR\r\n")
+    assert clients[1].line() == b"ERR\r\n"
+    ends[0].send(b"ERR\r\n")
+    _, second = first_of(world.servers)
+    second.line()
+    retuned(node, [LIVE, ONCE], AttemptsCap=2)
+    second.send(b"ERR\r\n")
+    assert clients[0].line().startswith(b"BUSY")
+    assert node.figures()["relayed"] == 3
+
+
+@pytest.mark.parametrize(("classes", "limits", "names"), [
+    ([{**LIVE, "HardLimitNs": 0}], {}, "classes[0]"), ([{**LIVE, "HardLimitNs": "soon"}], {}, "HardLimitNs"),
+    ([{**LIVE, "HardLimitNs": [5]}], {}, "HardLimitNs"), ([{**LIVE, "HardLimitNs": None}], {}, "HardLimitNs"),
+    ([LIVE], {"AttemptsCap": 0}, "max_attempts"), ([LIVE], {"AttemptsCap": "many"}, "AttemptsCap"),
+    ([LIVE], {"AttemptsCap": True}, "AttemptsCap"), ([LIVE], {"AttemptsCap": None}, "AttemptsCap"),
+    ([LIVE, LIVE], {}, "Classes"), ([{"Name": "new"}], {}, "AimNs"), ([], {}, "Classes.count"),
+    ([{key: value for key, value in LIVE.items() if key != "Repeat"}], {}, "Repeat"),
+])
+def test_nothing_is_taken_of_a_broken_file(world: World, classes: list[dict[str, Any]],
+                                           limits: dict[str, Any], names: str) -> None:
+    """Not its discovery either, though that could be right."""
+    node = world.start()
+    path = node.folder / "config.json"
+    before = path.read_text()
+    path.write_text(json.dumps({**json.loads(before), "discovery": "127.0.0.1:1"}))
+    assert names in retuned(node, classes, **limits)
+    world.discovery.tell("s-9", world.servers[1].address)
+    node.figure("registry_entries", 3)
+    assert node.figures()["cfg_invalid"] == 1
+
+
+@pytest.mark.parametrize("key", ["name", "listen", "seed", "limits", "settings"])
+def test_a_file_that_lacks_a_key_is_turned_down_for_it(world: World, key: str) -> None:
+    node = world.start()
+    whole = json.loads((node.folder / "config.json").read_text())
+    node.reload(json.dumps({name: value for name, value in whole.items() if name != key}))
+    assert key in node.log.read_text().rsplit("reload: ", 1)[1] and node.figures()["cfg_invalid"] == 1
