--- a/puffinpost/__main__.py
+++ b/puffinpost/__main__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import signal
 import sys
 import time
@@ -18,6 +17,7 @@
 from puffinpost.fronts.xmpp import XmppFront
 from puffinpost.interface import Result, ServerId
 from puffinpost.inventory import Inventory, InventoryError
+from puffinpost.leaving import leave
 from puffinpost.net.console import Console
 from puffinpost.net.discovery import Watch
 from puffinpost.net.flows import FlowSink
@@ -27,14 +27,10 @@
 from puffinpost.net.probes import Prober
 from puffinpost.net.south import Dialler
 from puffinpost.operations import Operations
+from puffinpost.succession import Succession
 
-# On SIGTERM the front goes on sending clients for up to 0.4 s, and SIGKILL comes no sooner than the longest
-# deadline (3 s at most) and 0.7 s later.
-STILL_COMING_S = 0.5
-MOST_DEADLINE_S = 3.0
-LAST_ANSWERS_S = 0.42  # for those that came last; what is left until SIGKILL is for the way out
-LAST_MOVE_S = 0.6  # before that: room for those that come up late, and for MOVE to be read
-TICK_S = 0.02
+FRESH_S = 4.0  # a start is owed its yes within 6 s; a list that does not come in time is not waited for
+FRESH_STEP_S = 0.01
 BANS_S = 0.05  # how often the file of bans is looked at, for what another process of this node was told
 
 
@@ -86,6 +82,9 @@
         self.flows = FlowSink(told.flows, self.core) if told.flows else None
         if self.flows is not None:
             self.core.on_end.append(self.flows.ended)
+        self.succession = Succession(
+            told.folder, told.name, self.core, self.front, self.places, self, told.sockets - told.for_clients,
+        )
         self.tasks: set[asyncio.Task[None]] = set()
         self.stop = asyncio.Event()
         self.listening = False
@@ -117,13 +116,19 @@
             self.core.follow_bans(self.bans.names)
             self.prober.forget(self.core.takes_work)
 
-    def _serve(self, link: Link, receiver: Receiver) -> None:
+    def run_link(self, link: Link, receiver: Receiver) -> None:
+        """Runs a link to its end."""
         task = asyncio.get_running_loop().create_task(link.run(receiver))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def class_stands(self, name: str) -> None:
+        """Connections of a class come that the configuration has not any more."""
+        self.config = config.with_closed(self.config, name)
+        self.core.retune(self.config.settings, self.config.classes, self.config.closed)
+
     def _unready(self) -> str:
-        if self.front.leaving:
+        if self.front.leaving or self.succession.succeeded:
             return "leaving"
         if not self.listening:
             return "not listening yet"
@@ -132,20 +137,21 @@
     def _open_console(self) -> None:
         address, console = self.config.console, self.console
         if address is not None:
-            Listener(bound(address), console, lambda link: self._serve(link, console.accept(link)),
+            Listener(bound(address), console, lambda link: self.run_link(link, console.accept(link)),
                      console.turn_away)
             log.say(f"the console is at {address[0]}:{address[1]}")
 
     def _listen(self) -> list[Listener]:
         front, xmpp, inherited = self.front, self.xmpp, self.config.inherited
         listeners = [Listener(
-            bound(self.config.listen) if inherited is None else adopted(inherited), self.places,
-            lambda link: self._serve(link, front.accept(link)), front.turn_away,
+            self.succession.listening(self.config.listen) if inherited is None else adopted(inherited),
+            self.places,
+            lambda link: self.run_link(link, front.accept(link)), front.turn_away,
         )]
         if xmpp is not None:
             listeners.append(Listener(
-                bound(xmpp.config.listen), self.places,
-                lambda link: self._serve(link, xmpp.accept(link)), xmpp.turn_away,
+                self.succession.listening(xmpp.config.listen), self.places,
+                lambda link: self.run_link(link, xmpp.accept(link)), xmpp.turn_away,
             ))
         for listener in listeners:
             host, port = listener.socket.getsockname()[:2]
@@ -169,6 +175,15 @@
         self.core.retune(self.config.settings, self.config.classes, self.config.closed)
         self.watch.redirect(self.config.discovery)
 
+    async def _take_place(self) -> None:
+        """Where a process of this node runs, it goes on until this one could serve as well as it does."""
+        if not self.succession.expected():
+            return
+        until = time.monotonic() + FRESH_S
+        while not self.core.fresh and time.monotonic() < until and not self.stop.is_set():
+            await asyncio.sleep(FRESH_STEP_S)
+        await self.succession.begin()
+
     def _say_counts(self) -> None:
         log.say(f"counts: {self.counters.text()}")
 
@@ -194,50 +209,18 @@
         self.core.follow_bans(self.bans.names)
         self._follow_bans()
         self._open_console()
-        listeners = self._listen()
+        await self._take_place()
+        listeners = self.succession.listeners = self._listen()
+        self.succession.listen()
         if self.config.counts_every_s:
             loop.call_later(self.config.counts_every_s, self._say_counts_again)
         await self.stop.wait()
-        await self._leave(listeners)
+        await leave(self.core, self.front, self.xmpp, self.places, listeners,
+                    lambda: self.succession.succeeded)
         if self.flows is not None:
             await self.flows.close()
         log.say(f"{self.config.name} ends; counts: {self.counters.text()}")
 
-    async def _leave(self, listeners: list[Listener]) -> None:
-        """Answers what still comes, moves what stands, and ends before it would be killed."""
-        longest = max(item.deadline_ns for item in self.core.settings.classes) / 1e9
-        began = time.monotonic()
-        end = began + min(longest, MOST_DEADLINE_S) + LAST_ANSWERS_S
-        # As long as there is: all that are moved are set up anew at transcribers that have other work.
-        span = max(TICK_S, end - LAST_MOVE_S - began - STILL_COMING_S)
-        self.front.leaving = True
-        await asyncio.sleep(STILL_COMING_S)
-        for listener in listeners:
-            listener.close()
-        first = self.core.standing()
-        random.shuffle(first)
-        moved = 0
-        while time.monotonic() < end:
-            spent = time.monotonic() - began - STILL_COMING_S
-            due = len(first) if spent >= span else int(len(first) * spent / span)
-            for exchange in first[moved:due]:
-                self.core.move(exchange)
-            moved = max(moved, due)
-            if spent >= span:
-                for exchange in self.core.standing():
-                    self.core.move(exchange)
-                if not self.core.exchanges:
-                    break
-            await asyncio.sleep(TICK_S)
-        for exchange in list(self.core.exchanges.values()):
-            self.core.move(exchange)
-            self.core.dismiss(exchange)
-        if self.xmpp is not None:
-            self.xmpp.shut_down()
-        await asyncio.sleep(TICK_S)
-        while self.places.leaving and time.monotonic() < end:
-            await asyncio.sleep(TICK_S)  # an exit would reset those that have not read their last word
-
 
 async def _main() -> None:
     await Node(config.load()).run()
--- a/puffinpost/config.py
+++ b/puffinpost/config.py
@@ -223,6 +223,13 @@
     ), waits
 
 
+def with_closed(now: Config, name: str) -> Config:
+    """The same with one more class that takes nothing new: connections of it stand, from before a restart."""
+    classes = (*now.settings.classes, now.settings.classes[0])
+    return replace(now, settings=replace(now.settings, classes=classes), classes=(*now.classes, name),
+                   closed=now.closed | {name})
+
+
 def _compare(old: Any, new: Any, path: str) -> None:
     """Guards against a file that was cut or is half written.
 
--- a/puffinpost/core.py
+++ b/puffinpost/core.py
@@ -174,8 +174,10 @@
         self.counters = counters
         self.balancer = Balancer(settings, seed)
         self.exchanges: dict[int, Exchange] = {}
-        self._idents: set[int] = set()  # of messages that have not ended
+        self.idents: set[int] = set()  # of messages that have not ended
+        self.foreign: set[int | None] = set()  # of those in another process of this node
         self.on_end: list[Callable[[Ended], None]] = []
+        self.on_free: list[Callable[[int], None]] = []  # told of ids that are in use no more
         self.banned: dict[str, int] = {}  # by discovery's name, since when
         self.able = False
         self.fresh = False  # discovery itself has told the list, since the start
@@ -265,10 +267,10 @@
         if ident is not None:
             # Guards against a second relay for an id that is out: which of the two a transcriber's answer
             # is for, nobody could tell.
-            if ident in self._idents:
+            if ident in self.idents or ident in self.foreign:
                 self.counters.add("duplicates")
                 raise DuplicateError("the id is that of a message that has not ended")
-            self._idents.add(ident)
+            self.idents.add(ident)
         self._numbers += 1
         klass = self.settings.classes[message.klass]
         exchange = Exchange(self._numbers, message, klass, north, self.clock.now())
@@ -412,6 +414,61 @@
     def _harmless(self, exchange: Exchange) -> bool:
         return exchange.klass.effect is api.Effect.SAFE
 
+    # --- succession ---------------------------------------------------------------------------------
+
+    def describe(self, exchange: Exchange) -> dict[str, Any]:
+        """What another process of this node has to know of a connection that stands."""
+        message = exchange.message
+        flow = self.balancer.flows.get(exchange.number)
+        return {
+            "class": self.class_names[message.klass], "at": exchange.at, "key": message.key,
+            "server": self.inventory.name(exchange.relay.server) if exchange.relay is not None else "",
+            "load": int(flow.load) if flow is not None and flow.load is not None else message.load,
+            "group": message.group, "source": message.source, "ident": message.ident,
+            "came_ns": exchange.came_ns, "up_ns": exchange.up_ns, "sent": list(exchange.sent),
+            "octets": [exchange.octets_north, exchange.octets_south],
+        }
+
+    def handed_over(self, exchange: Exchange) -> None:
+        """Another process of this node has a connection that stood in this one."""
+        relay = exchange.relay
+        assert relay is not None and exchange.standing
+        self.counters.add("handed_over")
+        self._stop_timer(relay)
+        relay.over = exchange.answered = True
+        exchange.relay = None
+        took = self.clock.now() - relay.started_ns
+        self._give(lambda: api.Outcome(
+            exchange.number, relay.number, relay.server, api.Result.CANCELLED, True, took
+        ))
+        self._forget(exchange)
+
+    def take_over(self, state: dict[str, Any], north: North) -> Exchange:
+        """A connection that stood in another process of this node. Its relay is up already."""
+        message = Message(
+            self.classes[state["class"]], 0, state["key"], state["group"], state["load"],
+            source=(str(state["source"][0]), int(state["source"][1])), ident=state["ident"],
+        )
+        self.foreign.discard(message.ident)
+        exchange = self._new(message, north)
+        exchange.inherited = exchange.standing = True
+        exchange.came_ns, exchange.up_ns = state["came_ns"], state["up_ns"]
+        exchange.octets_north, exchange.octets_south = state["octets"]
+        exchange.sent.extend(state["sent"])
+        server = self.inventory.identify(state["server"])
+        address = (str(state["at"][0]), int(state["at"][1]))
+        relay = Relay(exchange, 0, server, address, exchange.up_ns, exchange.deadline_ns)
+        relay.written = True
+        exchange.relay, exchange.at = relay, address
+        self.counters.add("taken_over")
+        request = self._request(exchange)
+        self._give(lambda: api.Inherited(request, server))
+        return exchange
+
+    def learn(self, memory: api.Memory) -> None:
+        """What another process of this node has learned."""
+        self._give(lambda: memory)
+
     # --- within -------------------------------------------------------------------------------------
 
     def _give(self, event: Callable[[], api.Event]) -> None:
@@ -541,7 +598,9 @@
 
     def _forget(self, exchange: Exchange) -> None:
         if self.exchanges.pop(exchange.number, None) is not None and exchange.message.ident is not None:
-            self._idents.discard(exchange.message.ident)
+            self.idents.discard(exchange.message.ident)
+            for call in self.on_free:
+                call(exchange.message.ident)
 
     def _stop_timer(self, relay: Relay) -> None:
         self.clock.cancel(relay.timer)
--- a/puffinpost/fronts/platform.py
+++ b/puffinpost/fronts/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from typing import Any
 
 from puffinpost import interface as api
 from puffinpost import log
@@ -37,6 +38,21 @@
         self.places.enter(session)
         return session
 
+    def take_over(self, state: dict[str, Any], link: Link, south: Link) -> Session:
+        """A session that stood in another process of this node; the caller runs both links."""
+        session = Session(self, link)
+        session.exchange = self.core.take_over(state, session)
+        relay = session.exchange.relay
+        assert relay is not None
+        session.south = TranscriberSide(session, relay, None)
+        session.south.link, session.south.last = south, lines.Word[state["last"]]
+        link.sink, south.sink = south, link
+        for splitter, rest in ((session.splitter, state["north"]), (session.south.splitter, state["south"])):
+            for _ in splitter.feed(bytes.fromhex(rest)):
+                pass  # only the part of a line that is not whole was passed on
+        self.places.take_over(session)
+        return session
+
     def turn_away(self, connection: socket.socket) -> None:
         """Answers a connection for which there was no descriptor but the spare one."""
         connection.send(self.full)
@@ -93,7 +109,7 @@
         self._say(self.front.full)
 
     def _line(self, line: bytes) -> None:
-        if self.opening is None:
+        if self.opening is None and self.exchange is None:
             if line.rstrip(b"\r\n") == lines.PING:
                 if self.core.able and not self.front.leaving:
                     self.link.write(lines.PONG)
@@ -180,6 +196,24 @@
         # Only whole lines are ever written north, so this falls between two.
         self._say(lines.MOVE)
 
+    # --- succession ---------------------------------------------------------------------------------
+
+    def pack(self) -> tuple[dict[str, Any], list[Link]] | None:
+        """What another process needs to carry on a session that stands; None where it cannot go just now."""
+        south = self.south
+        if south is None or south.link is None or self.over or not (self.link.idle and south.link.idle):
+            return None
+        return {
+            "north": self.splitter.rest.hex(), "south": south.splitter.rest.hex(), "last": south.last.name,
+        }, [self.link, south.link]
+
+    def let_go(self) -> None:
+        """Another process has the session."""
+        assert self.south is not None and self.south.link is not None
+        self._leave()
+        self.link.let_go()
+        self.south.link.let_go()
+
     # --- within -------------------------------------------------------------------------------------
 
     def stands(self, up: bytes) -> None:
@@ -211,7 +245,7 @@
 class TranscriberSide:
     """One relay's connection to its transcriber."""
 
-    def __init__(self, session: Session, relay: Relay, opening: lines.Opening) -> None:
+    def __init__(self, session: Session, relay: Relay, opening: lines.Opening | None) -> None:
         self.session = session
         self.core = session.core
         self.relay = relay
@@ -221,6 +255,7 @@
         self.last = lines.Word.OTHER
 
     def connected(self) -> None:
+        assert self.opening is not None  # one that was taken over is connected already
         self._write(self.opening.onward(self.core.left_ms(self.relay)))
 
     def flushed(self) -> None:
--- a/puffinpost/interface.py
+++ b/puffinpost/interface.py
@@ -191,6 +191,36 @@
     since_ns: int
 
 
+@dataclass(frozen=True, slots=True)
+class ServerMemory:
+    """What a balancer has learned of one server."""
+
+    server: ServerId
+    load: float | None
+    load_ns: int
+    held: float
+    fills: float
+    faults: int
+    aside_until: int
+    started_ns: int
+    cold_ns: int
+    budget: float
+    budget_ns: int
+    probed_ns: int
+
+
+@dataclass(frozen=True, slots=True)
+class Memory:
+    """What a balancer has learned, for the one that takes its place. Loads are work a second."""
+
+    servers: tuple[ServerMemory, ...] = ()
+    told_load: float = 0.0
+    told_count: float = 0.0
+    spread: float = 1.0
+    window: float = 1.0
+    called: tuple[ServerId, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Retuned:
     """New settings are in force. A class that was there has its index still."""
@@ -287,8 +317,8 @@
 
 
 Event: TypeAlias = (
-    ServerList | Banned | Retuned | Request | Inherited | Established | Outcome | ClientGone | TimerDue
-    | ProbeResult | LoadNote | DelayNote
+    ServerList | Banned | Retuned | Memory | Request | Inherited | Established | Outcome | ClientGone
+    | TimerDue | ProbeResult | LoadNote | DelayNote
 )
 
 
--- /dev/null
+++ b/puffinpost/leaving.py
@@ -0,0 +1,66 @@
+"""How a process ends: it answers what still comes, moves what stands, and ends before it would be killed."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+from puffinpost.core import Core
+from puffinpost.fronts.platform import PlatformFront
+from puffinpost.fronts.xmpp import XmppFront
+from puffinpost.net.listener import Listener
+from puffinpost.net.places import Places
+
+# On SIGTERM the front goes on sending clients for up to 0.4 s, and SIGKILL comes no sooner than the longest
+# deadline (3 s at most) and 0.7 s later.
+STILL_COMING_S = 0.5
+MOST_DEADLINE_S = 3.0
+LAST_ANSWERS_S = 0.42  # for those that came last; what is left until SIGKILL is for the way out
+LAST_MOVE_S = 0.6  # before that: room for those that come up late, and for MOVE to be read
+TICK_S = 0.02
+
+
+async def leave(core: Core, front: PlatformFront, xmpp: XmppFront | None, places: Places,
+                listeners: list[Listener], succeeded: Callable[[], bool]) -> None:
+    """Ends all service. ``succeeded``: another process accepts in its place, and is given what stands."""
+    longest = max(item.deadline_ns for item in core.settings.classes) / 1e9
+    began = time.monotonic()
+    end = began + min(longest, MOST_DEADLINE_S) + LAST_ANSWERS_S
+    # As long as there is: all that are moved are set up anew at transcribers that have other work.
+    span = max(TICK_S, end - LAST_MOVE_S - began - STILL_COMING_S)
+    front.leaving = True
+
+    def all_served() -> bool:
+        return succeeded() and not core.exchanges and not places.awaited
+
+    while time.monotonic() < began + STILL_COMING_S and not all_served():
+        await asyncio.sleep(TICK_S)
+    for listener in listeners:
+        listener.close()
+    first = core.standing()
+    random.shuffle(first)
+    moved = 0
+    while time.monotonic() < end:
+        if all_served():
+            break
+        spent = time.monotonic() - began - STILL_COMING_S
+        due = len(first) if spent >= span else int(len(first) * spent / span)
+        for exchange in first[moved:due]:
+            core.move(exchange)
+        moved = max(moved, due)
+        if spent >= span:
+            for exchange in core.standing():
+                core.move(exchange)
+            if not core.exchanges:
+                break
+        await asyncio.sleep(TICK_S)
+    for exchange in list(core.exchanges.values()):
+        core.move(exchange)
+        core.dismiss(exchange)
+    if xmpp is not None:
+        xmpp.shut_down()
+    await asyncio.sleep(TICK_S)
+    while places.leaving and time.monotonic() < end:
+        await asyncio.sleep(TICK_S)  # an exit would reset those that have not read their last word
--- a/puffinpost/net/link.py
+++ b/puffinpost/net/link.py
@@ -7,7 +7,7 @@
 import socket
 import ssl
 import struct
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -96,6 +96,7 @@
         self._lingers = False
         self._handshaking = False
         self._upgrade: tuple[Tls, Callable[[str], None]] | None = None
+        self._reading: Awaitable[bytes] | None = None  # what is waited for
         self.peer = ("0.0.0.0", 0)
         stream.set_nodelay(True)
 
@@ -132,7 +133,9 @@
         while not self._closing:
             if not self._open.is_set():
                 await self._open.wait()
-            data = await self.stream.read_bytes(CHUNK, partial=True)
+            self._reading = reading = self.stream.read_bytes(CHUNK, partial=True)
+            data = await reading
+            self._reading = None
             if self._closing:
                 return
             receiver.received(data)
@@ -210,6 +213,21 @@
         """Waits until what was written is out."""
         await self.stream.write(b"")
 
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is on its way in this process, either way: the socket alone holds what there is."""
+        return (
+            not self.closed and not self.unsent
+            and isinstance(self._reading, asyncio.Future) and not self._reading.done()
+            and not self.stream.writing() and not isinstance(self.stream, SSLIOStream)
+        )
+
+    def let_go(self) -> None:
+        """Closes this process's descriptor of a socket that another one has. The connection goes on."""
+        self._closing = True
+        self._open.set()
+        self.stream.close()
+
     def close(self, reset: bool = False) -> None:
         """Ends the connection after what was written, or resets it."""
         if self._closing:
--- a/puffinpost/net/listener.py
+++ b/puffinpost/net/listener.py
@@ -55,7 +55,8 @@
         self.socket.setblocking(False)
         self._spare: int | None = os.open(os.devnull, os.O_RDONLY)
         self._paused: object | None = None
-        self._listen()
+        self._rests = True
+        self.go_on()
 
     def _listen(self) -> None:
         self._paused = None
@@ -63,18 +64,34 @@
 
     def _pause(self) -> None:
         """Guards against a spin: what is not accepted keeps the listener readable."""
-        if self._paused is None:
+        if self._paused is None and not self._rests:
             IOLoop.current().remove_handler(self.socket)
             self._paused = IOLoop.current().call_later(PAUSE_S, self._listen)
 
-    def close(self) -> None:
-        """Takes what has connected already, then listens no more."""
+    def rest(self) -> None:
+        """Accepts nothing for now; another process of this node does."""
+        if not self._rests:
+            self._rests = True
+            self._quiet()
+
+    def go_on(self) -> None:
+        """Accepts, from now on or again."""
+        if self._rests:
+            self._rests = False
+            self._listen()
+
+    def _quiet(self) -> None:
         if self._paused is None:
             IOLoop.current().remove_handler(self.socket)
         else:
             IOLoop.current().remove_timeout(self._paused)
-        self._paused = self
-        self._accept(BACKLOG)
+            self._paused = None
+
+    def close(self) -> None:
+        """Takes what has connected already, unless another process does, then listens no more."""
+        if not self._rests:
+            self.rest()
+            self._accept(BACKLOG)
         self.socket.close()
         if self._spare is not None:
             os.close(self._spare)
--- a/puffinpost/net/places.py
+++ b/puffinpost/net/places.py
@@ -40,7 +40,7 @@
 
     def __init__(self, most: int, counters: Counters,
                  call_later: Callable[[float, Callable[[], None]], object]) -> None:
-        self.most = most
+        self._all = self.most = most
         self.for_sessions = self.most - max(4, self.most // DOORWAY)
         self.counters = counters
         self.leaving: dict[Link, None] = {}
@@ -52,7 +52,7 @@
 
     def may_enter(self) -> bool:
         """Whether one more connection may be accepted. Where not, it waits in the kernel for a moment."""
-        return self._taken() < self.most or bool(self.leaving or self._guests) or self._evictable(
+        return self.taken < self.most or bool(self.leaving or self._guests) or self._evictable(
             time.monotonic()
         ) is not None
 
@@ -82,6 +82,29 @@
         self._make_room(time.monotonic())
         return True
 
+    def take_over(self, visitor: Visitor) -> None:
+        """A session comes from another process of this node, which had room for it."""
+        self._sessions.add(visitor)
+        self._make_room(time.monotonic())
+
+    def share(self, elsewhere: int) -> None:
+        """Another process of this node holds so many of the descriptors. None are left to those that come, if
+        need be, but sessions stay.
+        """
+        self.most = max(0, self._all - elsewhere)
+        self.for_sessions = self.most - max(4, self.most // DOORWAY)
+        self._make_room(time.monotonic())
+
+    @property
+    def awaited(self) -> bool:
+        """Whether a client that has connected may still send its first message."""
+        return bool(self._newcomers)
+
+    @property
+    def taken(self) -> int:
+        """How many descriptors the north side holds, relays included."""
+        return len(self._newcomers) + len(self._guests) + len(self.leaving) + 2 * len(self._sessions)
+
     def left(self, visitor: Visitor) -> None:
         """A client's connection is over, or changes its kind."""
         self._newcomers.pop(visitor, None)
@@ -97,12 +120,9 @@
         """A connection is closed."""
         self.leaving.pop(link, None)
 
-    def _taken(self) -> int:
-        return len(self._newcomers) + len(self._guests) + len(self.leaving) + 2 * len(self._sessions)
-
     def _make_room(self, now: float) -> None:
         """Guards against clients that connect by the hundred and say nothing, or do not leave."""
-        while self._taken() > self.most:
+        while self.taken > self.most:
             if self.leaving:
                 link = next(iter(self.leaving))
                 del self.leaving[link]
--- a/puffinpost/protocol/lines.py
+++ b/puffinpost/protocol/lines.py
@@ -42,6 +42,11 @@
             yield line
         self._check()
 
+    @property
+    def rest(self) -> bytes:
+        """What has come of a line that waits for its end."""
+        return bytes(self._rest) if self.pending else b""
+
     @property
     def pending(self) -> bool:
         """Whether part of a line has come and waits for its end."""
--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -17,9 +17,9 @@
 
 from puffinpost.interface import (
     NEVER_RAN, Action, Banned, Cancel, ClientGone, DelayNote, Effect, Established, Event, Fail, Inherited,
-    ListKind, LoadNote, Log, Move, Outcome, Probe, ProbeResult, Refuse, Request, RequestClass, RequestId,
-    Result, Retuned, Scope, Send, ServerId, ServerLine, ServerList, Settings, Status, Subscribe, Timer,
-    TimerDue,
+    ListKind, LoadNote, Log, Memory, Move, Outcome, Probe, ProbeResult, Refuse, Request, RequestClass,
+    RequestId, Result, Retuned, Scope, Send, ServerId, ServerLine, ServerList, ServerMemory, Settings,
+    Status, Subscribe, Timer, TimerDue,
 )
 
 # --- constants --------------------------------------------------------------------------------------
@@ -230,6 +230,8 @@
                 self._on_banned(event)
             case Retuned(settings):
                 self._tune(settings)
+            case Memory():
+                self._remember(event)
             case ClientGone():
                 self._on_client_gone(event)
             case Inherited():
@@ -330,6 +332,30 @@
         self.called.append(event.server)
         self._place_waiting()
 
+    def memory(self) -> Memory:
+        """What this balancer has learned, for the one that takes its place."""
+        return Memory(
+            tuple(ServerMemory(
+                it.id, it.load, it.load_ns, it.held, it.fills, it.faults, it.aside_until, it.started_ns,
+                it.cold_ns, it.budget, it.budget_ns, it.probed_ns,
+            ) for it in self.servers.values()),
+            self.told_load, self.told_count, self.spread, self.window, tuple(self.called),
+        )
+
+    def _remember(self, told: Memory) -> None:
+        """Takes over what another has learned. Of a server that has started since, it holds nothing."""
+        for it in told.servers:
+            server = self.servers.get(it.server)
+            if server is None or server.started_ns != it.started_ns:
+                continue
+            server.load, server.load_ns, server.held, server.fills = it.load, it.load_ns, it.held, it.fills
+            server.faults, server.aside_until, server.cold_ns = it.faults, it.aside_until, it.cold_ns
+            server.budget, server.budget_ns, server.probed_ns = it.budget, it.budget_ns, it.probed_ns
+        self.told_load, self.told_count = told.told_load, told.told_count
+        self.spread, self.window = told.spread, told.window
+        self.called = [it for it in told.called if it in self.servers and it not in self.banned]
+        self.survey_ns = self.now
+
     def _off(self, server: Server) -> bool:
         """Whether a server is told to be left out, by the list or by hand."""
         return server.down or server.id in self.banned
--- /dev/null
+++ b/puffinpost/succession.py
@@ -0,0 +1,212 @@
+"""How one process of a node takes the place of another while both run.
+
+The one that starts finds the other on a Unix socket in the folder that they share. Once it could serve, it
+says so; the other stops accepting, passes on its listening sockets, what it has learned and which ids are in
+use, and then its sessions.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import os
+import socket
+from pathlib import Path
+from typing import Any, Protocol
+from urllib.parse import quote
+
+from puffinpost import interface as api
+from puffinpost import log
+from puffinpost.core import Core, Exchange
+from puffinpost.fronts.platform import PlatformFront, Session
+from puffinpost.net.channel import Channel, Hearth, Message, connect
+from puffinpost.net.link import Link, Receiver, stream_on
+from puffinpost.net.listener import Listener, bound
+from puffinpost.net.places import Places
+
+ANSWER_S = 1.0  # a process that does not answer for this long is taken to be stuck, and is not waited for
+TICK_S = 0.02
+AT_ONCE = 32  # sessions passed on before other work gets its turn
+
+
+class Owner(Protocol):
+    """What the rest of the node does for a succession."""
+
+    def class_stands(self, name: str) -> None:
+        """Connections of a class come that this process's configuration has not: it has to know its name."""
+
+    def run_link(self, link: Link, receiver: Receiver) -> None:
+        """Runs a link to its end."""
+
+
+class Succession:
+    """Both sides: this process comes after one, and another comes after this one."""
+
+    def __init__(self, folder: str, node: str, core: Core, front: PlatformFront, places: Places, owner: Owner,
+                 own: int) -> None:
+        # Without a folder of their own, processes of a node cannot find each other, and live as if alone.
+        self.path = Path(folder) / f"puffinpost-{quote(node, safe='')}.sock" if folder else None
+        self.core = core
+        self.front = front
+        self.places = places
+        self.owner = owner
+        self.own = own  # descriptors that a process needs beside its clients
+        self.listeners: list[Listener] = []
+        self.successor: Channel | None = None
+        self.predecessor: Channel | None = None
+        self._hearth: Hearth | None = None
+        self._answer: asyncio.Future[Message] | None = None
+        self._passed: dict[tuple[str, int], socket.socket] = {}
+        self._handing = False
+        self._told_taken = -1
+
+    # --- the one that comes after -------------------------------------------------------------------
+
+    def expected(self) -> bool:
+        """Whether a process of this node runs, whose place is to be taken."""
+        channel = connect(self.path) if self.path is not None else None
+        if channel is not None:
+            self.predecessor = channel
+            channel.came, channel.over = self._from_predecessor, self._predecessor_gone
+        return channel is not None
+
+    async def begin(self) -> None:
+        """Takes the place of the process that runs. To be called once this one can serve."""
+        channel = self.predecessor
+        if channel is None:
+            return  # it has ended meanwhile
+        self._answer = asyncio.get_running_loop().create_future()
+        channel.send({"do": "ready"})
+        try:
+            told = await asyncio.wait_for(self._answer, ANSWER_S)
+            self.core.foreign.update(told["idents"])
+            self.core.learn(_memory(told["memory"]))
+            log.say(f"takes the place of process {told['process']}")
+        except (TimeoutError, ConnectionError, KeyError, TypeError, ValueError) as problem:
+            log.say(f"succession: no answer from the process that runs: {problem!r}")
+            channel.close()
+            self._predecessor_gone()
+
+    def listening(self, address: tuple[str, int]) -> socket.socket:
+        """A socket that listens on an address: the one that was passed on, else a new one."""
+        return self._passed.pop(address, None) or bound(address)
+
+    def listen(self) -> None:
+        """Can be found, from now on, by the process that comes after this one."""
+        for left in self._passed.values():
+            left.close()
+        if self.path is not None:
+            try:
+                self._hearth = Hearth(self.path, self._came)
+            except OSError as problem:
+                log.say(f"succession: {self.path}: {problem}")
+
+    def _from_predecessor(self, message: Message, sockets: list[socket.socket]) -> None:
+        match message["do"]:
+            case "yours" if self._answer is not None and not self._answer.done():
+                self._answer.set_result(message)
+                addresses = [(str(host), int(port)) for host, port in message["listening"]]
+                self._passed = dict(zip(addresses, sockets, strict=True))
+                self.places.share(self.own + message["taken"])
+            case "session":
+                self._take_over(message, sockets)
+            case "free":
+                self.core.foreign.discard(message["ident"])
+            case "taken":
+                self.places.share(self.own + message["taken"])
+
+    def _take_over(self, state: Message, sockets: list[socket.socket]) -> None:
+        if state["class"] not in self.core.classes:
+            self.owner.class_stands(state["class"])
+        north = Link(stream_on(sockets[0]), self.places)
+        north.peer = (str(state["source"][0]), int(state["source"][1]))
+        south = Link(stream_on(sockets[1]))
+        session = self.front.take_over(state, north, south)
+        assert session.south is not None
+        self.owner.run_link(north, session)
+        self.owner.run_link(south, session.south)
+
+    def _predecessor_gone(self) -> None:
+        self.predecessor = None
+        self.core.foreign.clear()
+        self.places.share(0)
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_exception(ConnectionError("it ended"))
+
+    # --- the one that goes --------------------------------------------------------------------------
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether another process accepts in this one's place."""
+        return self.successor is not None
+
+    def _came(self, channel: Channel) -> None:
+        def came(message: Message, sockets: list[socket.socket]) -> None:
+            if message["do"] == "ready":
+                self._give_way(channel)
+
+        channel.came = came
+
+    def _give_way(self, channel: Channel) -> None:
+        if self.successor is not None:
+            self.successor.close()
+        self.successor = channel
+        channel.over = self._successor_gone
+        for listener in self.listeners:
+            listener.rest()
+        log.say("another process takes this one's place")
+        channel.pass_on({
+            "do": "yours", "process": os.getpid(), "idents": list(self.core.idents),
+            "memory": dataclasses.asdict(self.core.balancer.memory()), "taken": self.places.taken,
+            "listening": [listener.socket.getsockname()[:2] for listener in self.listeners],
+        }, [listener.socket for listener in self.listeners])
+        if not self._handing:
+            self._handing = True
+            self.core.on_free.append(self._free)
+            self._hand_over()
+
+    def _free(self, ident: int) -> None:
+        if self.successor is not None:
+            self.successor.send({"do": "free", "ident": ident})
+
+    def _successor_gone(self) -> None:
+        """Guards the clients against a successor that fails: this process serves on."""
+        self.successor = None
+        if not self.front.leaving:
+            log.say("the process that came after this one is gone")
+            for listener in self.listeners:
+                listener.go_on()
+
+    def _hand_over(self) -> None:
+        """Passes on what stands, a part at a time, until this process ends."""
+        asyncio.get_running_loop().call_later(TICK_S, self._hand_over)
+        channel = self.successor
+        if channel is None:
+            return
+        passed = 0
+        for exchange in self.core.standing():
+            if passed == AT_ONCE or channel.closed:
+                break
+            passed += self._pass_on(channel, exchange)
+        if self.places.taken != self._told_taken and not channel.closed:
+            self._told_taken = self.places.taken
+            channel.send({"do": "taken", "taken": self._told_taken})
+
+    def _pass_on(self, channel: Channel, exchange: Exchange) -> bool:
+        session = exchange.north
+        packed = session.pack() if isinstance(session, Session) else None
+        if packed is None:
+            return False
+        state, links = packed
+        message = {"do": "session", **self.core.describe(exchange), **state}
+        if not channel.pass_on(message, [link.stream.socket for link in links]):
+            return False
+        assert isinstance(session, Session)
+        session.let_go()
+        self.core.handed_over(exchange)
+        return True
+
+
+def _memory(told: dict[str, Any]) -> api.Memory:
+    servers = tuple(api.ServerMemory(**each) for each in told["servers"])
+    return api.Memory(**{**told, "servers": servers, "called": tuple(told["called"])})
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -179,10 +179,13 @@
     """The real program, started as the platform starts it."""
 
     def __init__(self, folder: Path, discovery: Discovery, settings: dict[str, Any] | None = None,
-                 edge: str = "", sockets: int = 1024, inherited: socket.socket | None = None) -> None:
+                 edge: str = "", sockets: int = 1024, inherited: socket.socket | None = None,
+                 beside: Node | None = None, waits: bool = True) -> None:
         self.port, self.console, self.folder = free_port(), free_port(), folder
         environ = {**os.environ, "GW_CONSOLE": f"127.0.0.1:{self.console}",
                    "TMPDIR": str(folder)}
+        if beside is not None:
+            self.port = beside.port
         if inherited is not None:
             self.port = inherited.getsockname()[1]
             environ["GW_INHERITED_FD"] = str(inherited.fileno())
@@ -193,7 +196,7 @@
         }
         (folder / "config.json").write_text(json.dumps(told))
         (folder / "edge.toml").write_text(edge)
-        self.log = folder / "log"
+        self.log = folder / f"log-{self.console}"
         with self.log.open("wb") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "puffinpost"], cwd=ROOT, stderr=log,
@@ -201,7 +204,8 @@
                 env={**environ, "GW_CONFIG": str(folder / "config.json"),
                      "GW_DISCOVERY": discovery.server.address, "GW_EDGE": str(folder / "edge.toml")},
             )
-        self.wait_log("listens on", 1 + edge.count("listen ="))
+        if waits:
+            self.wait_log("listens on", 1 + edge.count("listen ="))
 
     def wait_log(self, text: str, count: int = 1) -> None:
         until = time.monotonic() + WAIT_S
@@ -220,6 +224,13 @@
         return {name[4:]: int(figure.split("|")[0])
                 for name, figure in (line.rsplit(":", 1) for line in lines)}
 
+    def ready(self) -> None:
+        """Waits until it says so."""
+        until = time.monotonic() + WAIT_S
+        while self.call("GET", "/ready")[0] != 200:
+            assert time.monotonic() < until
+            time.sleep(0.01)
+
     def figure(self, name: str, wanted: int) -> None:
         """Waits until a figure is as wanted."""
         until = time.monotonic() + WAIT_S
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,210 @@
+"""A second process takes the place of the first, and clients do not notice."""
+
+from __future__ import annotations
+
+import signal
+import socket
+from collections.abc import Iterator
+
+import pytest
+from conftest import World
+from standins import SETTINGS, WAIT_S, Node, Peer, free_port
+from test_node import OPEN, first_of, fresh, served
+from world import PLAIN, Driver, line
+
+from puffinpost import interface as api
+
+
+@pytest.fixture
+def held() -> Iterator[socket.socket]:
+    """The listening socket, where the platform holds it."""
+    with socket.create_server(("127.0.0.1", 0), backlog=64) as made:
+        yield made
+
+
+def stand(world: World, node: Node, count: int) -> list[tuple[Peer, Peer]]:
+    made = []
+    for _ in range(count):
+        client = node.client(fresh(OPEN % 3000))
+        made.append((client, served(world, client)))
+    return made
+
+
+def speak(pairs: list[tuple[Peer, Peer]], text: bytes) -> None:
+    for client, relay in pairs:
+        client.send(text + b"\r\n")
+        assert relay.line() == text + b"\r\n"
+        relay.send(b"back " + text + b"\r\n")
+        assert client.line() == b"back " + text + b"\r\n"
+
+
+@pytest.mark.parametrize("platform_holds", [True, False])
+def test_sessions_go_over_between_two_bytes(world: World, held: socket.socket, platform_holds: bool) -> None:
+    shared = held if platform_holds else None
+    old = world.start(inherited=shared)
+    pairs = stand(world, old, 4)
+    speak(pairs, b"before")
+    for client, relay in pairs:  # half a line, both ways
+        client.send(b"half a ")
+        relay.send(b"LOAD 4")
+    new = world.start(inherited=shared, beside=old)
+    new.ready()
+    new.figure("open_requests", 4)
+    old.figure("open_requests", 0)
+    assert old.call("GET", "/ready")[0] == 503
+    assert old.stop() == 0
+    for client, relay in pairs:
+        client.send(b"line\r\n")
+        assert relay.line() == b"half a line\r\n"
+        relay.send(b"1.5\r\n")
+        assert client.line() == b"LOAD 41.5\r\n"
+    speak(pairs, b"after")
+    assert new.counts()["load_notes"] == 4 and new.figures()["relayed"] == 0
+    late = new.client(fresh(OPEN % 3000))
+    assert served(world, late)
+    client, relay = pairs[0]
+    relay.send(b"BYE\r\n")
+    relay.close()
+    assert client.line() == b"BYE\r\n" and client.ending() == "end"
+    pairs[1][0].close("reset")
+    assert pairs[1][1].ending() == "reset"
+
+
+def test_what_the_old_one_took_it_serves_and_its_ids_are_known(world: World, held: socket.socket) -> None:
+    old = world.start(inherited=held)
+    line_ = fresh(OPEN % 3000)
+    waiting = old.client(line_)
+    slow = old.client(b"OPEN ")
+    _, relay = first_of(world.servers)
+    relay.line()
+    new = world.start(inherited=held)
+    new.ready()
+    assert new.client(line_).line() == b"ERR\r\n"  # two with one id
+    old.process.terminate()
+    slow.send(fresh(OPEN % 3000)[5:])
+    other = first_of(world.servers)[1]
+    for each, client in ((other, slow), (relay, waiting)):
+        line = each.line() if each is other else b""
+        each.send(b"UP 5\r\n")
+        assert client.line() == b"UP 5\r\n", line
+    assert old.process.wait(WAIT_S) == 0
+    speak([(waiting, relay), (slow, other)], b"still here")
+    again = new.client(line_)
+    assert again.line() == b"ERR\r\n"
+    waiting.close()
+    assert relay.ending() == "end"
+    new.figure("open_requests", 1)
+    assert served(world, new.client(line_))
+
+
+def test_it_says_ready_only_with_a_list_of_its_own_and_the_old_one_serves_till_then(
+    world: World, held: socket.socket,
+) -> None:
+    old = world.start(inherited=held)
+    old.ready()
+    world.discovery.form = "503"
+    new = world.start(inherited=held, waits=False)
+    new.wait_log("the console is at")
+    calls = world.discovery.calls
+    world.discovery.wait_calls(calls + 1)
+    assert new.call("GET", "/ready")[0] == 503 and old.call("GET", "/ready")[0] == 200
+    pairs = stand(world, old, 1)
+    world.discovery.form = ""
+    new.ready()
+    assert old.call("GET", "/ready")[0] == 503
+    new.figure("open_requests", 1)
+    speak(pairs, b"still here")
+
+
+def test_a_successor_that_ends_leaves_the_old_one_serving(world: World, held: socket.socket) -> None:
+    old = world.start(inherited=held)
+    for _ in range(2):
+        new = world.start(inherited=held)
+        new.ready()
+        new.process.kill()
+        new.process.wait()
+        old.ready()
+        assert stand(world, old, 1)
+
+
+def test_a_stale_socket_and_one_that_does_not_answer_are_survived(world: World, held: socket.socket) -> None:
+    old = world.start(inherited=held)
+    old.process.kill()
+    old.process.wait()
+    node = world.start(inherited=held)
+    node.ready()
+    node.process.send_signal(signal.SIGSTOP)
+    third = world.start(inherited=held, waits=False)
+    third.wait_log("listens on")
+    third.ready()
+    node.process.send_signal(signal.SIGCONT)
+    assert third.process.poll() is None
+
+
+def test_bans_and_a_class_that_is_gone_go_over_too(world: World, held: socket.socket) -> None:
+    old = world.start(1, inherited=held)
+    pairs = stand(world, old, 1)
+    world.discovery.tell("s-1", world.servers[1].address)
+    old.figure("registry_entries", 2)
+    assert old.call("POST", "/transcribers/disable/s-1")[0] == 200
+    new = world.start(inherited=held, settings={"Classes": SETTINGS["Classes"][1:]})
+    new.ready()
+    new.figure("out_of_rotation", 1)
+    new.figure("open_requests", 1)
+    speak(pairs, b"still here")
+    assert new.client(fresh(OPEN % 3000)).line() == b"ERR\r\n"
+    assert new.figures()["operations.live-text.faulted"] == 1
+
+
+def test_a_second_upgrade_follows_the_first(world: World, held: socket.socket) -> None:
+    nodes = [world.start(inherited=held)]
+    pairs = stand(world, nodes[0], 3)
+    for _ in range(3):
+        nodes.append(world.start(inherited=held))
+        nodes[-1].ready()
+        nodes[-1].figure("open_requests", 3)
+        assert nodes[-2].stop() == 0
+        speak(pairs, b"still here")
+
+
+def test_the_watch_of_the_old_one_goes_on_until_it_ends(world: World, held: socket.socket) -> None:
+    old = world.start(1, inherited=held)
+    waiting = old.client(fresh(OPEN % 3000))
+    _, relay = first_of(world.servers)
+    relay.line()
+    new = world.start(1, inherited=held)
+    new.ready()
+    world.discovery.tell("s-0", world.servers[0].address, "draining")
+    old.figure("out_of_rotation", 1)
+    relay.send(b"BUSY\r\n")
+    assert waiting.line().startswith(b"BUSY") and not world.servers[0].asked()
+
+
+def test_with_xmpp_the_second_address_goes_over_as_well(world: World) -> None:
+    port = free_port()
+    edge = f'[xmpp]\nlisten = "127.0.0.1:{port}"\nmechanisms = ["ANONYMOUS"]\n'
+    old = world.start(edge=edge)
+    new = world.start(edge=edge, beside=old)
+    new.ready()
+    peer = new.client(b"<stream:stream xmlns='jabber:client' xmlns:stream='http://etherx.jabber.org/streams' "
+                      b"to='localhost' version='1.0'>", port)
+    assert b"features" in peer.until(b"</stream:features>")
+    assert old.stop() == 0
+
+
+def test_a_balancer_starts_with_what_the_last_one_learned() -> None:
+    first = Driver(PLAIN, line(1), line(2, started_ns=5), line(3))
+    for _ in range(6):
+        first.open()
+    first.report(1, 0.5, 8.0)
+    first.report(2, 0.4, 8.0)
+    first.give(api.ProbeResult(3, api.Result.TIMEOUT, 1, ()))
+    memory = first.balancer.memory()
+    second = Driver(PLAIN, line(1), line(2, started_ns=6), line(3), line(4))
+    second.now = first.now
+    second.give(memory)
+    servers = second.balancer.servers
+    assert (servers[1].load, servers[1].fills) == (0.5, 16.0)
+    assert servers[2].load is None and servers[4].load is None  # another process, and one nobody knew
+    assert servers[3].aside_until == first.balancer.servers[3].aside_until > second.now
+    assert second.balancer.avoided() == 1
