In a crowd, the newcomer heard least lately makes room; a slow first line has 2.6 s

Faulty: Places._evictable took the oldest, which may be a slow true client; FIRST_S = 2.0 while a line may take 2 s; leave() ended while a first line was half written. The test of a slow line in a crowd fails without this.

--- a/puffinpost/fronts/platform.py
+++ b/puffinpost/fronts/platform.py
@@ -91,6 +91,7 @@
     # --- what the client does (Receiver) ------------------------------------------------------------
 
     def received(self, data: bytes) -> None:
+        self.front.places.heard(self)
         try:
             for line in self.splitter.feed(data):
                 if self.over:
--- a/puffinpost/fronts/xmpp.py
+++ b/puffinpost/fronts/xmpp.py
@@ -106,6 +106,7 @@
     # --- what the link tells (Receiver) -------------------------------------------------------------
 
     def received(self, data: bytes) -> None:
+        self.front.places.heard(self)
         self.stream.feed(data)
         if not self.greeted and self.stream.headed and not self.stream.over:
             self.greeted = True
--- a/puffinpost/leaving.py
+++ b/puffinpost/leaving.py
@@ -53,7 +53,7 @@
         if spent >= span:
             for exchange in core.standing():
                 core.move(exchange)
-            if not core.exchanges:
+            if not core.exchanges and not places.awaited:
                 break
         await asyncio.sleep(TICK_S)
     for exchange in list(core.exchanges.values()):
--- a/puffinpost/net/places.py
+++ b/puffinpost/net/places.py
@@ -15,9 +15,9 @@
 from puffinpost.counters import Counters
 from puffinpost.net.link import Link
 
-# Clients write their first line at once, and one that cannot be served is owed its answer within 3 s.
-FIRST_S = 2.0
-# A newcomer is not closed for want of room before this: what it wrote may be on its way.
+# A first line may take 2 s to write, and a client that cannot be served is owed its answer within 3 s.
+FIRST_S = 2.6
+# A newcomer is not closed for want of room so soon after it was heard: what it wrote may be on its way.
 YOUNG_S = 0.1
 SWEEP_S = 0.1
 # This part of the rest is kept from sessions, for newcomers and for those that leave.
@@ -36,7 +36,7 @@
 
 
 class Places:
-    """Counts the places on the north side, and frees the oldest of those that are least needed."""
+    """Counts the places on the north side, and frees those that are least needed."""
 
     def __init__(self, most: int, counters: Counters,
                  call_later: Callable[[float, Callable[[], None]], object]) -> None:
@@ -44,7 +44,9 @@
         self.for_sessions = self.most - max(4, self.most // DOORWAY)
         self.counters = counters
         self.leaving: dict[Link, None] = {}
-        self._newcomers: dict[Visitor, tuple[float, float]] = {}  # since when, and until when
+        self._newcomers: dict[Visitor, float] = {}  # until when; in the order of ...
+        self._heard: dict[Visitor, float] = {}  # ... when they came, or were heard last
+        self._begun: set[Visitor] = set()  # newcomers that were heard
         self._guests: dict[Visitor, float] = {}  # until when; the one that was heard last stands last
         self._sessions: set[Visitor] = set()
         self._call_later = call_later
@@ -60,9 +62,16 @@
         """A client has connected, or has begun what it must end within the limit."""
         now = time.monotonic()
         self.left(visitor)
-        self._newcomers[visitor] = now, now + limit_s
+        self._newcomers[visitor], self._heard[visitor] = now + limit_s, now
         self._make_room(now)
 
+    def heard(self, visitor: Visitor) -> None:
+        """A client has sent something. Guards slow ones that make progress: others make room before them."""
+        if visitor in self._newcomers:
+            self._newcomers[visitor] = self._newcomers.pop(visitor)
+            self._heard[visitor] = time.monotonic()
+            self._begun.add(visitor)
+
     def rest(self, visitor: Visitor, limit_s: float = math.inf) -> None:
         """Nothing is owed to the client now, and it may stay."""
         now = time.monotonic()
@@ -97,8 +106,8 @@
 
     @property
     def awaited(self) -> bool:
-        """Whether a client that has connected may still send its first message."""
-        return bool(self._newcomers)
+        """Whether a client has begun its first message."""
+        return bool(self._begun)
 
     @property
     def taken(self) -> int:
@@ -108,6 +117,8 @@
     def left(self, visitor: Visitor) -> None:
         """A client's connection is over, or changes its kind."""
         self._newcomers.pop(visitor, None)
+        self._heard.pop(visitor, None)
+        self._begun.discard(visitor)
         self._guests.pop(visitor, None)
         self._sessions.discard(visitor)
 
@@ -138,8 +149,8 @@
                 return
 
     def _evictable(self, now: float) -> Visitor | None:
-        oldest = next(iter(self._newcomers), None)
-        return oldest if oldest is not None and self._newcomers[oldest][0] + YOUNG_S <= now else None
+        first = next(iter(self._newcomers), None)
+        return first if first is not None and self._heard[first] + YOUNG_S <= now else None
 
     def _end(self, visitor: Visitor) -> None:
         self.left(visitor)
@@ -149,7 +160,7 @@
     def _sweep(self) -> None:
         self._call_later(SWEEP_S, self._sweep)
         now = time.monotonic()
-        for over in [visitor for visitor, (_, until) in self._newcomers.items() if until <= now]:
+        for over in [visitor for visitor, until in self._newcomers.items() if until <= now]:
             self._end(over)
         for over in [visitor for visitor, until in self._guests.items() if until <= now]:
             self._end(over)
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -62,6 +62,23 @@
     relay.close()
 
 
+@pytest.mark.parametrize("leaves", [False, True])
+def test_a_slow_line_is_served_in_a_crowd_of_the_mute(world: World, leaves: bool) -> None:
+    """It takes 2 s to write; meanwhile others come by the hundred, and the process may be told to end."""
+    node = world.start(sockets=80)
+    slow, line = node.client(), fresh(OPEN % 3000)
+    crowd: list[Peer] = []
+    for at in range(0, len(line), 4):
+        slow.send(line[at:at + 4])
+        if not leaves or at == 0:
+            crowd += [node.client(said) for said in (b"", b"OPEN 9b1f") for _ in range(4)]
+        if leaves and at == 0:
+            node.process.terminate()
+        assert not select.select([slow.socket], [], [], 2.0 * 4 / len(line))[0]  # neither answered nor closed
+    relay = served(world, slow)
+    assert len(crowd) > (7 if leaves else 100) and relay
+
+
 def rude(node: Node, data: bytes) -> Peer:
     """A client that sends all it has before it reads."""
     client = node.client()
