A large transcriber that starts again is not held back for want of reports

Faulty: _starts_cold voided fills, so _has_room's guard against unknown ones (UNKNOWN_MOST) closed it until its late reports came. Now what was learned stays where it is more than usual for the weight, and its cold budget counts with it. Ruled out: the window (64), held-back probes.

--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -304,8 +304,14 @@
                 self._starts_cold(server, line.started_ns, self.chance.random())
 
     def _starts_cold(self, server: Server, since_ns: int, budget: float) -> None:
-        """A new process: what was known of the old one is void, and it starts cold."""
-        server.load, server.fills, server.faults, server.aside_until = None, 0.0, 0, 0
+        """A new process: it starts cold, with none of the old one's load.
+
+        It may be a faster one. But one that could do more than is usual for its weight is not held back for
+        want of reports: where it can do that no more, the first ones show it.
+        """
+        if server.fills <= (self.full_connections or math.inf) * server.weight:
+            server.fills = 0.0
+        server.load, server.held, server.faults, server.aside_until = None, 0.0, 0, 0
         server.placements.clear()
         server.cold_ns, server.budget, server.budget_ns = since_ns, budget, self.now
 
@@ -343,12 +349,15 @@
         )
 
     def _remember(self, told: Memory) -> None:
-        """Takes over what another has learned. Of a server that has started since, it holds nothing."""
+        """Takes over what another has learned. Of a server that has started since, its size holds."""
         for it in told.servers:
             server = self.servers.get(it.server)
-            if server is None or server.started_ns != it.started_ns:
+            if server is None:
+                continue
+            server.fills = it.fills
+            if server.started_ns != it.started_ns:
                 continue
-            server.load, server.load_ns, server.held, server.fills = it.load, it.load_ns, it.held, it.fills
+            server.load, server.load_ns, server.held = it.load, it.load_ns, it.held
             server.faults, server.aside_until, server.cold_ns = it.faults, it.aside_until, it.cold_ns
             server.budget, server.budget_ns, server.probed_ns = it.budget, it.budget_ns, it.probed_ns
         self.told_load, self.told_count = told.told_load, told.told_count
@@ -380,9 +389,9 @@
         if not self._is_cold(server):
             return True
         rules = self.settings
-        if self.full_connections is None:
+        if not server.fills and self.full_connections is None:
             return server.id in self.called and server.budget >= 1.0
-        full = self.full_connections * server.weight
+        full = server.fills or (self.full_connections or 0.0) * server.weight
         rate = full / rules.warm_within_ns * self._warmth(server) * rules.fall_multiple * COLD_SAFETY
         server.budget = min(1.5, server.budget + rate / rules.balancers * (self.now - server.budget_ns))
         server.budget_ns = self.now
--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -148,3 +148,19 @@
     assert {only(world.ask(), api.Send).server for _ in range(8)} == {1}
     world.give(api.Banned(3, False, 0))
     assert only(world.ask(), api.Send).server == 3
+
+
+def test_a_server_that_starts_again_keeps_what_is_known_of_its_size() -> None:
+    """Guards against one that is let have a dozen connections and no more until its reports show more."""
+    world = Driver(PLAIN, line(1), line(2))
+    for _ in range(12):
+        world.open()
+    for number, held in ((1, 80.0), (2, 5.0)):
+        world.report(number, 0.5, held)
+    world.run(S)
+    servers = world.balancer.servers
+    for number, fills in ((1, 160.0), (2, 0.0)):
+        world.give(api.ServerList(api.ListKind.DELTA, (line(number, started_ns=world.now),)))
+        assert (servers[number].load, servers[number].held, servers[number].fills) == (None, 0.0, fills)
+    world.run(10 * S)  # 0.6 of its capacity; 160 over 20 s, three times, with a margin
+    assert world.balancer._cold_room(servers[1]) and servers[1].budget == 1.5
