A cold transcriber is bounded by its budget alone, not by reports that come late

Faulty: _has_room's guard for servers that have shown nothing (UNKNOWN_MOST = 12 connections beyond those reported): 15 own x 1.2 - 6 reported. Ruled out: the window (5 to 23, at most 2 out), the successor (it starts with the same figures).

--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -629,7 +629,8 @@
         be flooded by all at once: then each takes its own share of that room only, rounded by chance.
         """
         untold = len(server.own) * self.spread - server.held
-        if not server.fills and 2 * self.learned > len(self.servers) and untold >= UNKNOWN_MOST:
+        unknown = not server.fills and not self._is_cold(server)  # a cold one has its budget
+        if unknown and 2 * self.learned > len(self.servers) and untold >= UNKNOWN_MOST:
             # Guards against one that is far slower than its weight says: the others have shown what they do.
             return False
         if server.load is None:
