Command line, schema of the operator's file, structured log; wiring and config are packages

Need: the edge for poor links brings two fronts, limits and a link emulator, and each needs sub-commands, settings and log lines; all three were hand-made.

Change: click (cli/, loaded only where a sub-command is named), msgspec structs as the schema of edge.toml, structlog with the rate limit as a processor, text or json. check FILE names every fault with its key. __main__ only picks; wiring/ has the node, leaving and succession, config/ has the platform's part, the schema and what it means.

--- /dev/null
+++ b/puffinpost/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line. A node that is started plainly loads nothing of this."""
--- /dev/null
+++ b/puffinpost/config/edge.py
@@ -0,0 +1,204 @@
+"""An operator's file, ``deploy/edge.toml`` or the one that ``GW_EDGE`` names, as the node runs with it.
+
+What the schema cannot tell is checked here: addresses, files that keys name, and keys that need one another.
+"""
+
+from __future__ import annotations
+
+import ssl
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from puffinpost.config import schema
+from puffinpost.config.problems import ConfigError
+from puffinpost.edge.limits import Limits
+from puffinpost.inventory import parse_address
+from puffinpost.protocol.xmpp_stream import ClientOptions, ServerOptions
+
+Address = tuple[str, int]
+EDGE_FILE = Path(__file__).parent.parent.parent / "deploy" / "edge.toml"
+
+
+@dataclass(frozen=True, slots=True)
+class XmppConfig:
+    """The XMPP front, and how its relays speak to transcribers."""
+
+    listen: Address
+    server: ServerOptions
+    client: ClientOptions
+    server_tls: ssl.SSLContext | None
+    client_tls: ssl.SSLContext | None
+    port: int  # of transcribers; 0: as the inventory has it
+
+
+@dataclass(frozen=True, slots=True)
+class MqttConfig:
+    """The MQTT front."""
+
+    listen: Address
+    users: Mapping[str, str]  # passwords by name
+    anonymous: bool
+    tls: ssl.SSLContext | None
+    keep_alive_s: int
+    receive_maximum: int
+
+
+@dataclass(frozen=True, slots=True)
+class FlowsConfig:
+    """The export of flows."""
+
+    collector: Address
+    domain: int
+
+
+@dataclass(frozen=True, slots=True)
+class EdgeConfig:
+    """The whole file."""
+
+    xmpp: XmppConfig | None
+    mqtt: MqttConfig | None
+    resume: Limits
+    flows: FlowsConfig | None
+    counts_every_s: int
+    log_format: str
+
+
+def edge_file(environ: Mapping[str, str]) -> Path:
+    """The file that this process reads."""
+    return Path(environ.get("GW_EDGE") or EDGE_FILE)
+
+
+def parse(path: Path, needed: bool = True) -> dict[str, Any]:
+    """The tables of a file, as TOML has them; empty where there is none and none is needed."""
+    try:
+        return tomllib.loads(path.read_text())
+    except FileNotFoundError:
+        if needed:
+            raise ConfigError(f"GW_EDGE: there is no file {path}") from None
+        return {}
+    except (OSError, ValueError) as problem:
+        raise ConfigError(f"{path}: {problem}") from None
+
+
+def read_edge(environ: Mapping[str, str]) -> EdgeConfig:
+    """The file, checked. Raises ``ConfigError`` with the first key that is wrong."""
+    table = parse(edge_file(environ), bool(environ.get("GW_EDGE")))
+    try:
+        return make(schema.edge_of(table))
+    except schema.Fault as fault:
+        raise ConfigError(str(fault)) from None
+
+
+def problems(table: dict[str, Any]) -> list[str]:
+    """Every fault that can be told of a file at once, each with its key: what ``check`` prints."""
+    found = [str(fault) for fault in schema.faults(table)]
+    if found:
+        return found
+    edge = schema.edge_of(table)
+    for part in (lambda: _xmpp(edge.xmpp), lambda: _mqtt(edge.mqtt), lambda: _flows(edge.ipfix)):
+        try:
+            part()
+        except ConfigError as problem:
+            found.append(str(problem))
+    return found
+
+
+def make(edge: schema.Edge) -> EdgeConfig:
+    """What the structs mean. Raises ``ConfigError``."""
+    resume = edge.resume
+    return EdgeConfig(
+        _xmpp(edge.xmpp), _mqtt(edge.mqtt),
+        Limits(
+            grace_ns=resume.grace_s * 1_000_000_000, sessions=resume.sessions,
+            sessions_per_user=resume.sessions_per_user, messages=resume.lines, octets=resume.bytes,
+            octets_in_all=resume.bytes_in_all, refusals_per_minute=resume.refusals_per_minute,
+        ),
+        _flows(edge.ipfix), edge.counters.every_s, edge.log.format,
+    )
+
+
+def _xmpp(table: schema.Xmpp) -> XmppConfig | None:
+    name, south = "xmpp", table.transcribers
+    listen = _address(table.listen, "xmpp.listen")
+    users = _users(table.users, name)
+    if south.mechanism == "PLAIN" and not south.tls:
+        raise ConfigError("xmpp.transcribers.tls: PLAIN is spoken over TLS only")
+    password = _text(south.password_file, "xmpp.transcribers.password_file").strip()
+    if listen is None:
+        return None
+    if table.require_tls and not table.certificate:
+        raise ConfigError("xmpp.certificate: require_tls needs one")
+    return XmppConfig(
+        listen,
+        ServerOptions(table.domain, tuple(table.mechanisms), users, bool(table.certificate),
+                      table.require_tls, table.stanza_limit),
+        ClientOptions(south.domain, south.mechanism, south.username, password, south.tls,
+                      table.stanza_limit),
+        _server_tls(table, name), _client_tls(south), south.port,
+    )
+
+
+def _mqtt(table: schema.Mqtt) -> MqttConfig | None:
+    listen = _address(table.listen, "mqtt.listen")
+    users = _users(table.users, "mqtt")
+    if listen is None:
+        return None
+    if not (users or table.anonymous or table.ca):
+        raise ConfigError("mqtt.users: nobody could connect: set users, ca or anonymous")
+    if table.ca and not table.certificate:
+        raise ConfigError("mqtt.certificate: ca needs one, for a client shows its certificate over TLS")
+    return MqttConfig(listen, users, table.anonymous, _server_tls(table, "mqtt"), table.keep_alive_s,
+                      table.receive_maximum)
+
+
+def _flows(table: schema.Ipfix) -> FlowsConfig | None:
+    collector = _address(table.collector, "ipfix.collector")
+    return FlowsConfig(collector, table.observation_domain) if collector is not None else None
+
+
+def _address(value: str, key: str) -> Address | None:
+    try:
+        return parse_address(value) if value else None
+    except ValueError as problem:
+        raise ConfigError(f"{key}: {problem}") from None
+
+
+def _text(path: str, key: str) -> str:
+    """The text of the file that a key names; empty where it names none."""
+    try:
+        return Path(path).read_text() if path else ""
+    except (OSError, UnicodeDecodeError) as problem:
+        raise ConfigError(f"{key}: {path}: {problem}") from None
+
+
+def _users(path: str, table: str) -> Mapping[str, str]:
+    try:
+        users = tomllib.loads(_text(path, f"{table}.users"))
+    except tomllib.TOMLDecodeError as problem:
+        raise ConfigError(f"{table}.users: {problem}") from None
+    if not all(isinstance(password, str) and password for password in users.values()):
+        raise ConfigError(f"{table}.users: not all passwords are texts")
+    return users
+
+
+def _server_tls(table: schema.Xmpp | schema.Mqtt, name: str) -> ssl.SSLContext | None:
+    if not table.certificate:
+        return None
+    try:
+        made = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH, cafile=table.ca or None)
+        made.load_cert_chain(table.certificate, table.key or None)
+    except (OSError, ssl.SSLError) as problem:
+        raise ConfigError(f"{name}.certificate, key or ca: {problem}") from None
+    if table.ca:
+        made.verify_mode = ssl.CERT_OPTIONAL
+    return made
+
+
+def _client_tls(south: schema.Transcribers) -> ssl.SSLContext | None:
+    try:
+        return ssl.create_default_context(cafile=south.ca or None) if south.tls else None
+    except (OSError, ssl.SSLError) as problem:
+        raise ConfigError(f"xmpp.transcribers.ca: {problem}") from None
--- a/puffinpost/config.py
+++ b/puffinpost/config/node.py
@@ -1,6 +1,6 @@
-"""All configuration: read, checked and given its defaults here, and nowhere else.
+"""What the platform tells a node, and SIGHUP's second reading of it.
 
-What the platform tells a node comes from ``GW_NAME``, ``GW_LISTEN``, ``GW_DISCOVERY`` and the JSON file
+It comes from ``GW_NAME``, ``GW_LISTEN``, ``GW_DISCOVERY`` and the JSON file
 that ``GW_CONFIG`` names; the first three are taken from that file where they are not set. What is ours to
 choose is in ``deploy/edge.toml``, or in the file that ``GW_EDGE`` names.
 """
@@ -9,9 +9,7 @@
 
 import os
 import resource
-import ssl
 import stat
-import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -20,42 +18,17 @@
 import orjson
 
 from puffinpost import interface as api
+from puffinpost.config.edge import Address, FlowsConfig, MqttConfig, XmppConfig, read_edge
+from puffinpost.config.problems import ConfigError
+from puffinpost.edge.limits import Limits
 from puffinpost.inventory import parse_address
-from puffinpost.protocol.xmpp import LEAST_STANZA_LIMIT
-from puffinpost.protocol.xmpp_stream import ClientOptions, ServerOptions
 from puffinpost.wire import parse_settings
 
-Address = tuple[str, int]
 # What the node itself holds: three standard streams, the loop's three, a listener and a spare each front, a
 # connection each to discovery, the collector and the transcribers that are probed.
 OWN_SOCKETS = 32
 CONSOLE_CALLS = 12  # that may be open at a time, beside the console's listener and its spare
 INHERITED = "GW_INHERITED_FD"
-EDGE_FILE = Path(__file__).parent.parent / "deploy" / "edge.toml"
-
-
-class ConfigError(Exception):
-    """What the node was told cannot be right; the text names the key."""
-
-
-@dataclass(frozen=True, slots=True)
-class XmppConfig:
-    """The XMPP front, and how its relays speak to transcribers."""
-
-    listen: Address
-    server: ServerOptions
-    client: ClientOptions
-    server_tls: ssl.SSLContext | None
-    client_tls: ssl.SSLContext | None
-    port: int  # of transcribers; 0: as the inventory has it
-
-
-@dataclass(frozen=True, slots=True)
-class FlowsConfig:
-    """The export of flows."""
-
-    collector: Address
-    domain: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +50,9 @@
     raw: dict[str, Any] = field(default_factory=dict)  # the file in force
     known: dict[str, Any] = field(default_factory=dict)
     xmpp: XmppConfig | None = None
+    mqtt: MqttConfig | None = None
+    resume: Limits = field(default_factory=Limits)
+    log_format: str = "text"
     flows: FlowsConfig | None = None
     counts_every_s: int = 0
     console: Address | None = None
@@ -150,12 +126,7 @@
     own = OWN_SOCKETS + (CONSOLE_CALLS + 2 if console is not None else 0)
     if sockets < own + 8:
         raise ConfigError(f"limits.sockets: {sockets} leaves no room for connections")
-    edge = _Table(_load_edge(environ), "")
-    xmpp, flows = _xmpp(edge.table_of("xmpp")), _flows(edge.table_of("ipfix"))
-    counters = edge.table_of("counters")
-    counts_every_s = counters.whole("every_s", 0, 0, 86400)
-    counters.done()
-    edge.done()
+    edge = read_edge(environ)
     return Config(
         name=text("GW_NAME", "name"),
         listen=address("GW_LISTEN", "listen"),
@@ -170,9 +141,12 @@
         discovery_in_file=str(told.get("discovery", "")),
         raw=told,
         known=_of(told, "known", dict, {}),
-        xmpp=xmpp,
-        flows=flows,
-        counts_every_s=counts_every_s,
+        xmpp=edge.xmpp,
+        mqtt=edge.mqtt,
+        resume=edge.resume,
+        flows=edge.flows,
+        counts_every_s=edge.counts_every_s,
+        log_format=edge.log_format,
         console=console,
         folder=environ.get("TMPDIR", ""),
         inherited=_inherited(environ),
@@ -260,118 +234,3 @@
         what = "is missing" if value is None else f"{value!r} is not of type {kind.__name__}"
         raise ConfigError(f"{key}: {what}")
     return value
-
-
-class _Table:
-    """A table of the edge file that is read key by key, and complains of what is left."""
-
-    def __init__(self, table: dict[str, Any], name: str) -> None:
-        self.table = dict(table)
-        self.name = name
-
-    def take(self, key: str, kind: type, default: Any) -> Any:
-        value = self.table.pop(key, default)
-        if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
-            raise ConfigError(f"{self.name}.{key}: {value!r} is not of type {kind.__name__}")
-        return value
-
-    def whole(self, key: str, default: int, least: int, most: int) -> int:
-        value = self.take(key, int, default)
-        if not least <= value <= most:
-            raise ConfigError(f"{self.name}.{key}: {value} is not from {least} to {most}")
-        return int(value)
-
-    def address(self, key: str) -> Address | None:
-        value = self.take(key, str, "")
-        try:
-            return parse_address(value) if value else None
-        except ValueError as problem:
-            raise ConfigError(f"{self.name}.{key}: {problem}") from None
-
-    def table_of(self, key: str) -> _Table:
-        return _Table(self.take(key, dict, {}), f"{self.name}.{key}" if self.name else key)
-
-    def file(self, key: str) -> str:
-        """The text of the file that a key names; empty where it names none."""
-        path = self.take(key, str, "")
-        try:
-            return Path(path).read_text() if path else ""
-        except (OSError, UnicodeDecodeError) as problem:
-            raise ConfigError(f"{self.name}.{key}: {path}: {problem}") from None
-
-    def done(self) -> None:
-        for key in self.table:
-            raise ConfigError(f"{self.name}.{key}: there is no such key" if self.name else f"{key}: unknown")
-
-
-def _xmpp(table: _Table) -> XmppConfig | None:
-    listen = table.address("listen")
-    domain = table.take("domain", str, "localhost")
-    certificate, key = table.take("certificate", str, ""), table.take("key", str, "")
-    ca = table.take("ca", str, "")
-    require_tls = table.take("require_tls", bool, False)
-    mechanisms = table.take("mechanisms", list, ["PLAIN"])
-    for name in mechanisms:
-        if name not in ("PLAIN", "EXTERNAL", "ANONYMOUS"):
-            raise ConfigError(f"{table.name}.mechanisms: {name!r} is not PLAIN, EXTERNAL or ANONYMOUS")
-    try:
-        users = tomllib.loads(table.file("users"))
-    except tomllib.TOMLDecodeError as problem:
-        raise ConfigError(f"{table.name}.users: {problem}") from None
-    if not all(isinstance(password, str) and password for password in users.values()):
-        raise ConfigError(f"{table.name}.users: not all passwords are texts")
-    limit = table.whole("stanza_limit", 65536, LEAST_STANZA_LIMIT, 1024 * 1024)
-    south = table.table_of("transcribers")
-    tls, south_ca = south.take("tls", bool, False), south.take("ca", str, "")
-    mechanism = south.take("mechanism", str, "ANONYMOUS")
-    if mechanism not in ("PLAIN", "ANONYMOUS"):
-        raise ConfigError(f"{south.name}.mechanism: {mechanism!r} is not PLAIN or ANONYMOUS")
-    if mechanism == "PLAIN" and not tls:
-        raise ConfigError(f"{south.name}.tls: PLAIN is spoken over TLS only")
-    client = ClientOptions(
-        south.take("domain", str, "transcribers.localhost"), mechanism, south.take("username", str, ""),
-        south.file("password_file").strip(), tls, limit,
-    )
-    port = south.whole("port", 0, 0, 65535)
-    south.done()
-    table.done()
-    if listen is None:
-        return None
-    if require_tls and not certificate:
-        raise ConfigError(f"{table.name}.certificate: require_tls needs one")
-    server = ServerOptions(domain, tuple(mechanisms), users, bool(certificate), require_tls, limit)
-    server_tls = client_tls = None
-    try:
-        if certificate:
-            server_tls = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH, cafile=ca or None)
-            server_tls.load_cert_chain(certificate, key or None)
-            if ca:
-                server_tls.verify_mode = ssl.CERT_OPTIONAL
-    except (OSError, ssl.SSLError) as problem:
-        raise ConfigError(f"{table.name}.certificate, key or ca: {problem}") from None
-    try:
-        if tls:
-            client_tls = ssl.create_default_context(cafile=south_ca or None)
-    except (OSError, ssl.SSLError) as problem:
-        raise ConfigError(f"{south.name}.ca: {problem}") from None
-    return XmppConfig(listen, server, client, server_tls, client_tls, port)
-
-
-def _flows(table: _Table) -> FlowsConfig | None:
-    collector = table.address("collector")
-    domain = table.whole("observation_domain", 1, 0, 0xFFFFFFFF)
-    table.done()
-    return FlowsConfig(collector, domain) if collector is not None else None
-
-
-def _load_edge(environ: Mapping[str, str]) -> dict[str, Any]:
-    """The tables of ``deploy/edge.toml``; empty where there is no such file."""
-    path = Path(environ.get("GW_EDGE") or EDGE_FILE)
-    try:
-        return tomllib.loads(path.read_text())
-    except FileNotFoundError:
-        if environ.get("GW_EDGE"):
-            raise ConfigError(f"GW_EDGE: there is no file {path}") from None
-        return {}
-    except (OSError, ValueError) as problem:
-        raise ConfigError(f"{path}: {problem}") from None
--- /dev/null
+++ b/puffinpost/config/schema.py
@@ -0,0 +1,157 @@
+"""The schema of an operator's file, ``deploy/edge.toml``: its tables, their keys, types, ranges and defaults.
+
+A table is a struct, so a key stands in one place with all that may be said of it. Unknown keys are faults.
+The structs hold what the file says; ``config.edge`` makes of it what the node runs with.
+"""
+
+from __future__ import annotations
+
+import re
+import types
+from collections.abc import Iterator
+from typing import Annotated, Any, Literal, get_type_hints
+
+import msgspec
+from msgspec import Meta
+
+from puffinpost.protocol.xmpp import LEAST_STANZA_LIMIT
+
+Port = Annotated[int, Meta(ge=0, le=65535)]
+
+
+class Table(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """A table of the file."""
+
+
+class Transcribers(Table):
+    """How the node, as an XMPP client, speaks to transcribers."""
+
+    domain: str = "transcribers.localhost"
+    port: Port = 0
+    tls: bool = False
+    ca: str = ""
+    mechanism: Literal["ANONYMOUS", "PLAIN"] = "ANONYMOUS"
+    username: str = ""
+    password_file: str = ""
+
+
+class Xmpp(Table):
+    """The XMPP front; off without ``listen``."""
+
+    listen: str = ""
+    domain: str = "localhost"
+    certificate: str = ""
+    key: str = ""
+    ca: str = ""
+    require_tls: bool = False
+    mechanisms: list[Literal["PLAIN", "EXTERNAL", "ANONYMOUS"]] = msgspec.field(
+        default_factory=lambda: ["PLAIN"])
+    users: str = ""
+    stanza_limit: Annotated[int, Meta(ge=LEAST_STANZA_LIMIT, le=1024 * 1024)] = 65536
+    transcribers: Transcribers = msgspec.field(default_factory=Transcribers)
+
+
+class Mqtt(Table):
+    """The MQTT front; off without ``listen``."""
+
+    listen: str = ""
+    certificate: str = ""
+    key: str = ""
+    ca: str = ""
+    users: str = ""
+    anonymous: bool = False
+    keep_alive_s: Annotated[int, Meta(ge=5, le=65535)] = 60
+    receive_maximum: Annotated[int, Meta(ge=1, le=65535)] = 64
+
+
+class Resume(Table):
+    """Sessions that outlive their link, on every front that can resume."""
+
+    grace_s: Annotated[int, Meta(ge=0, le=86400)] = 30
+    sessions: Annotated[int, Meta(ge=1, le=1_000_000)] = 2000
+    sessions_per_user: Annotated[int, Meta(ge=1, le=1_000_000)] = 200
+    lines: Annotated[int, Meta(ge=8, le=65535)] = 256
+    bytes: Annotated[int, Meta(ge=16_384, le=64 * 1024 * 1024)] = 65536
+    bytes_in_all: Annotated[int, Meta(ge=65_536, le=64 * 1024 * 1024 * 1024)] = 16 * 1024 * 1024
+    refusals_per_minute: Annotated[int, Meta(ge=1, le=100_000)] = 20
+
+
+class Ipfix(Table):
+    """The export of flows; off without ``collector``."""
+
+    collector: str = ""
+    observation_domain: Annotated[int, Meta(ge=0, le=0xFFFFFFFF)] = 1
+
+
+class Counters(Table):
+    """How often the counters are printed; 0: at exit and on SIGUSR1 only."""
+
+    every_s: Annotated[int, Meta(ge=0, le=86400)] = 0
+
+
+class Log(Table):
+    """How lines of the log look."""
+
+    format: Literal["text", "json"] = "text"
+
+
+class Edge(Table):
+    """The whole file."""
+
+    xmpp: Xmpp = msgspec.field(default_factory=Xmpp)
+    mqtt: Mqtt = msgspec.field(default_factory=Mqtt)
+    resume: Resume = msgspec.field(default_factory=Resume)
+    ipfix: Ipfix = msgspec.field(default_factory=Ipfix)
+    counters: Counters = msgspec.field(default_factory=Counters)
+    log: Log = msgspec.field(default_factory=Log)
+
+
+class Fault(ValueError):
+    """A key of the file and what is wrong with it."""
+
+    def __init__(self, key: str, problem: str) -> None:
+        super().__init__(f"{key}: {problem}")
+        self.key = key
+
+
+_PLACE = re.compile(r"^(?P<said>.*?)(?: - at `\$(?P<path>.*)`)?$", re.DOTALL)
+_UNKNOWN = re.compile(r"Object contains unknown field `(.*)`")
+
+
+def faults(table: dict[str, Any]) -> list[Fault]:
+    """Every fault of a file that was parsed, in the order of its keys; empty where it fits the schema.
+
+    The library stops at the first fault it meets, so each key is put to it alone.
+    """
+    return list(_faults(table, Edge, ""))
+
+
+def _faults(table: dict[str, Any], kind: type[Table], path: str) -> Iterator[Fault]:
+    hints = get_type_hints(kind, include_extras=True)
+    for key, value in table.items():
+        inner = hints.get(key)
+        if isinstance(inner, type) and issubclass(inner, Table) and isinstance(value, dict):
+            yield from _faults(value, inner, f"{path}{key}.")
+            continue
+        try:
+            msgspec.convert({key: value}, kind)
+        except msgspec.ValidationError as problem:
+            yield _fault(str(problem), path, key, value)
+
+
+def _fault(said: str, path: str, key: str, value: Any) -> Fault:
+    """The library's words, with the key as an operator wrote it and the value that it has."""
+    match = _PLACE.match(said)
+    assert match is not None
+    if _UNKNOWN.fullmatch(match["said"]):
+        return Fault(f"{path}{key}", "there is no such key")
+    shown = repr(value) if not isinstance(value, types.MappingProxyType | dict) else "a table"
+    where = f"{path}{(match['path'] or key).lstrip('.')}"
+    return Fault(where, f"{shown[:80]}: {match['said'][:1].lower()}{match['said'][1:]}")
+
+
+def edge_of(table: dict[str, Any]) -> Edge:
+    """The file as structs. Raises ``Fault`` with the first key that does not fit."""
+    for fault in faults(table):
+        raise fault
+    return msgspec.convert(table, Edge)
--- a/puffinpost/net/console.py
+++ b/puffinpost/net/console.py
@@ -8,7 +8,7 @@
 from http import HTTPStatus
 
 from puffinpost import log
-from puffinpost.config import CONSOLE_CALLS
+from puffinpost.config.node import CONSOLE_CALLS
 from puffinpost.net.link import Link
 from puffinpost.protocol.http import Answer, Call, CallParser, HttpError
 
--- /dev/null
+++ b/puffinpost/wiring/node.py
@@ -0,0 +1,241 @@
+"""One real node: reads the configuration, wires the parts together and runs until SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+from puffinpost import config, log
+from puffinpost.bans import Bans
+from puffinpost.core import Core
+from puffinpost.counters import Counters
+from puffinpost.fronts.platform import PlatformFront
+from puffinpost.fronts.xmpp import XmppFront
+from puffinpost.interface import Result, ServerId
+from puffinpost.inventory import Inventory, InventoryError
+from puffinpost.wiring.leaving import leave
+from puffinpost.net.console import Console
+from puffinpost.net.discovery import Watch
+from puffinpost.net.flows import FlowSink
+from puffinpost.net.link import Link, Receiver
+from puffinpost.net.listener import Listener, adopted, bound
+from puffinpost.net.places import Places
+from puffinpost.net.probes import Prober
+from puffinpost.net.south import Dialler
+from puffinpost.operations import Operations
+from puffinpost.wiring.succession import Succession
+
+FRESH_S = 4.0  # a start is owed its yes within 6 s; a list that does not come in time is not waited for
+FRESH_STEP_S = 0.01
+BANS_S = 0.05  # how often the file of bans is looked at, for what another process of this node was told
+
+
+class LoopClock:
+    """The event loop's timers, on a clock that starts at the Unix time and then only advances."""
+
+    def __init__(self) -> None:
+        self._offset = time.time_ns() - time.monotonic_ns()
+        self._loop = asyncio.get_running_loop()
+
+    def now(self) -> int:
+        return time.monotonic_ns() + self._offset
+
+    def call_later(self, after_ns: int, callback: Callable[[], None]) -> Any:
+        return self._loop.call_later(after_ns / 1e9, self._call, callback)
+
+    def cancel(self, handle: Any) -> None:
+        if handle is not None:
+            handle.cancel()
+
+    @staticmethod
+    def _call(callback: Callable[[], None]) -> None:
+        try:
+            callback()
+        except Exception:
+            log.say_exception("timer")
+
+
+class Node:
+    """The parts of a node, wired."""
+
+    def __init__(self, told: config.Config) -> None:
+        self.config = told
+        self.counters = Counters()
+        self.inventory = Inventory(told.zones, told.kinds)
+        self.core = Core(told.settings, told.classes, told.seed, self.inventory, LoopClock(), self,
+                         self.counters)
+        self.prober = Prober(lambda: self.core.settings.report_fields, self.core.probed)
+        self.watch = Watch(
+            told.discovery, lambda: self.inventory.index, self._told, self.core.inventory_failed
+        )
+        dialler = Dialler(self.core)
+        call_later = asyncio.get_running_loop().call_later
+        self.places = Places(told.for_clients, self.counters, call_later)
+        self.front = PlatformFront(self.core, dialler, self.places)
+        self.xmpp = XmppFront(self.core, told.xmpp, dialler, self.places) if told.xmpp else None
+        self.bans = Bans(told.folder, told.name)
+        self.console = Console(Operations(self.core, self.bans, self._unready).answer, call_later)
+        self.flows = FlowSink(told.flows, self.core) if told.flows else None
+        if self.flows is not None:
+            self.core.on_end.append(self.flows.ended)
+        self.succession = Succession(
+            told.folder, told.name, self.core, self.front, self.places, self, told.sockets - told.for_clients,
+        )
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.stop = asyncio.Event()
+        self.listening = False
+
+    # --- what the core asks for (Ports) -------------------------------------------------------------
+
+    def probe(self, server: ServerId) -> None:
+        address = self.inventory.addresses.get(server)
+        if address is None:
+            asyncio.get_running_loop().call_soon(self.core.probed, server, Result.CONNECT_FAILED, 0, ())
+        else:
+            self.prober.probe(server, address)
+
+    def subscribe(self) -> None:
+        self.watch.start()
+
+    def log(self, text: str) -> None:
+        log.say(text)
+
+    # --- running ------------------------------------------------------------------------------------
+
+    def _told(self, answer: dict[str, Any]) -> None:
+        self.core.inventory_told(answer)
+        self.prober.forget(self.core.takes_work)
+
+    def _follow_bans(self) -> None:
+        asyncio.get_running_loop().call_later(BANS_S, self._follow_bans)
+        if self.bans.look():
+            self.core.follow_bans(self.bans.names)
+            self.prober.forget(self.core.takes_work)
+
+    def run_link(self, link: Link, receiver: Receiver) -> None:
+        """Runs a link to its end."""
+        task = asyncio.get_running_loop().create_task(link.run(receiver))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def class_stands(self, name: str) -> None:
+        """Connections of a class come that the configuration has not any more."""
+        self.config = config.with_closed(self.config, name)
+        self.core.retune(self.config.settings, self.config.classes, self.config.closed)
+
+    def _unready(self) -> str:
+        if self.front.leaving or self.succession.succeeded:
+            return "leaving"
+        if not self.listening:
+            return "not listening yet"
+        return "" if self.core.fresh else "discovery has not told its list yet"
+
+    def _open_console(self) -> None:
+        address, console = self.config.console, self.console
+        if address is not None:
+            Listener(bound(address), console, lambda link: self.run_link(link, console.accept(link)),
+                     console.turn_away)
+            log.say(f"the console is at {address[0]}:{address[1]}")
+
+    def _listen(self) -> list[Listener]:
+        front, xmpp, inherited = self.front, self.xmpp, self.config.inherited
+        listeners = [Listener(
+            self.succession.listening(self.config.listen) if inherited is None else adopted(inherited),
+            self.places,
+            lambda link: self.run_link(link, front.accept(link)), front.turn_away,
+        )]
+        if xmpp is not None:
+            listeners.append(Listener(
+                self.succession.listening(xmpp.config.listen), self.places,
+                lambda link: self.run_link(link, xmpp.accept(link)), xmpp.turn_away,
+            ))
+        for listener in listeners:
+            host, port = listener.socket.getsockname()[:2]
+            log.say(f"{self.config.name} listens on {host}:{port}, with {self.config.sockets} descriptors")
+        self.listening = True
+        return listeners
+
+    def _reload(self) -> None:
+        """SIGHUP: the file is read again. What was learned, and whoever is connected, stays."""
+        try:
+            self.config, waits = config.reload(self.config)
+        except config.ConfigError as problem:
+            self.counters.add("cfg_invalid")
+            log.say(f"reload: {problem}; what was in force stays")
+            return
+        self.counters.add("cfg_accepted")
+        host, port = self.config.discovery
+        waiting = f"; cannot change while running: {', '.join(waits)}" if waits else ""
+        classes = ", ".join(name for name in self.config.classes if name not in self.config.closed)
+        log.say(f"reload: discovery at {host}:{port}, classes {classes}{waiting}")
+        self.core.retune(self.config.settings, self.config.classes, self.config.closed)
+        self.watch.redirect(self.config.discovery)
+
+    async def _take_place(self) -> None:
+        """Where a process of this node runs, it goes on until this one could serve as well as it does."""
+        if not self.succession.expected():
+            return
+        until = time.monotonic() + FRESH_S
+        while not self.core.fresh and time.monotonic() < until and not self.stop.is_set():
+            await asyncio.sleep(FRESH_STEP_S)
+        await self.succession.begin()
+
+    def _say_counts(self) -> None:
+        log.say(f"counts: {self.counters.text()}")
+
+    def _say_counts_again(self) -> None:
+        self._say_counts()
+        asyncio.get_running_loop().call_later(self.config.counts_every_s, self._say_counts_again)
+
+    async def run(self) -> None:
+        """Serves until SIGTERM, then leaves in order."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stop.set)
+        loop.add_signal_handler(signal.SIGINT, self.stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGUSR1, self._say_counts)
+        if self.config.known:
+            try:
+                self.core.inventory_told(self.config.known, cached=True)
+            except InventoryError as problem:
+                raise config.ConfigError(f"known: {problem}") from None
+        else:
+            # Nothing can be served yet, but the decisions have to be woken to ask for a list.
+            self.core.inventory_failed()
+        self.core.follow_bans(self.bans.names)
+        self._follow_bans()
+        self._open_console()
+        await self._take_place()
+        listeners = self.succession.listeners = self._listen()
+        self.succession.listen()
+        if self.config.counts_every_s:
+            loop.call_later(self.config.counts_every_s, self._say_counts_again)
+        await self.stop.wait()
+        await leave(self.core, self.front, self.xmpp, self.places, listeners,
+                    lambda: self.succession.succeeded)
+        if self.flows is not None:
+            await self.flows.close()
+        log.say(f"{self.config.name} ends; counts: {self.counters.text()}")
+
+
+async def _main() -> None:
+    told = config.load()
+    log.configure(told.log_format)
+    await Node(told).run()
+
+
+def main() -> int:
+    """The exit code of a node's life."""
+    try:
+        asyncio.run(_main())
+    except config.ConfigError as problem:
+        print(f"puffinpost: {problem}", file=sys.stderr)
+        return 2
+    except OSError as problem:
+        print(f"puffinpost: listen: {problem}", file=sys.stderr)
+        return 1
+    return 0
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,87 @@
+"""The command line, the operator's file and the log."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import time
+import tomllib
+from pathlib import Path
+
+import msgspec
+import orjson
+import pytest
+from standins import ROOT
+
+from puffinpost import log
+from puffinpost.config import schema
+
+
+def call(*words: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run([sys.executable, "-m", "puffinpost", *words], cwd=ROOT, capture_output=True,
+                          text=True, timeout=30)
+
+
+def test_check_names_every_fault_with_its_key(tmp_path: Path) -> None:
+    path = tmp_path / "edge.toml"
+    path.write_text('[xmpp]\nlisten = 3\nlisten_ = ""\nmechanisms = ["PLAIN", "X"]\n[xmpp.transcribers]\n'
+                    'port = 99999\n[resume]\ngrace_s = -1\n[zz]\n')
+    made = call("check", str(path))
+    assert made.returncode == 1
+    keys = [line.split(":")[0] for line in made.stderr.splitlines()]
+    assert keys == ["xmpp.listen", "xmpp.listen_", "xmpp.mechanisms[1]", "xmpp.transcribers.port",
+                    "resume.grace_s", "zz"]
+
+
+@pytest.mark.parametrize(("text", "key"), [
+    ('[mqtt]\nlisten = "127.0.0.1:1"', "mqtt.users"),
+    ('[mqtt]\nlisten = "nowhere"', "mqtt.listen"),
+    ('[mqtt]\nlisten = "127.0.0.1:1"\nca = "x"', "mqtt.certificate"),
+    ('[xmpp]\nlisten = "127.0.0.1:1"\nrequire_tls = true', "xmpp.certificate"),
+    ("[xmpp.transcribers]\nmechanism = 'PLAIN'", "xmpp.transcribers.tls"),
+])
+def test_check_knows_what_keys_need(tmp_path: Path, text: str, key: str) -> None:
+    path = tmp_path / "edge.toml"
+    path.write_text(text)
+    made = call("check", str(path))
+    assert made.returncode == 1 and made.stderr.startswith(f"{key}: ")
+
+
+def test_the_file_that_is_deployed_holds_the_defaults() -> None:
+    assert call("check", "deploy/edge.toml").returncode == 0
+    told = tomllib.loads((ROOT / "deploy" / "edge.toml").read_text())
+    assert told == msgspec.to_builtins(schema.Edge())
+
+
+def test_a_plain_start_loads_no_command_line() -> None:
+    code = "import sys, puffinpost.wiring.node; print([m for m in ('click', 'paho') if m in sys.modules])"
+    made = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=30)
+    assert made.stdout.strip() == "[]"
+
+
+@pytest.mark.parametrize("form", ["text", "json"])
+def test_the_log_is_limited_and_says_what_it_dropped(
+    form: str, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    now = 5.0
+    monkeypatch.setattr(time, "monotonic", lambda: now)
+    log.configure(form)
+    try:
+        for number in range(30):
+            log.say("from a client", often=True, number=number)
+        for number in range(30):
+            log.say("for operators", number=number)
+        now = 6.0
+        log.say("after")
+    finally:
+        log.configure()
+    lines = capsys.readouterr().err.splitlines()
+    if form == "json":
+        told = [orjson.loads(line) for line in lines]
+        assert [item["event"] for item in told] == (
+            ["from a client"] * log.MOST_OFTEN + ["for operators"] * (log.MOST_PER_SECOND - log.MOST_OFTEN)
+            + ["after"])
+        assert told[0]["number"] == 0 and told[-1]["dropped"] == 40 and "often" not in told[0]
+    else:
+        assert lines[0] == "puffinpost: from a client number=0"
+        assert lines[-2:] == ["puffinpost: 40 lines dropped", "puffinpost: after"] and len(lines) == 22
