--- a/puffinpost/core.py
+++ b/puffinpost/core.py
@@ -127,7 +127,7 @@
     """One message, from its arrival until its answer is given and its last relay is closed."""
 
     __slots__ = (
-        "answered", "at", "came_ns", "deadline_ns", "guard", "inherited", "klass", "message", "north",
+        "answered", "at", "came_ns", "deadline_ns", "guard", "held", "inherited", "klass", "message", "north",
         "number", "octets_north", "octets_south", "relay", "relays", "sent", "standing", "up_ns",
     )
 
@@ -147,6 +147,7 @@
         self.standing = False
         self.answered = False  # the final answer is given, or none is owed any more
         self.inherited = False
+        self.held = False  # its transcriber is not read for now, since its client does not read
         self.up_ns = 0
         self.guard: Any = None
         self.sent: deque[int] = deque(maxlen=MOST_ECHOES)  # when the lines went that are not echoed yet
@@ -311,6 +312,18 @@
         exchange.octets_north += size
         exchange.sent.extend([self.clock.now()] * min(count, MOST_ECHOES))
 
+    def hold(self, exchange: Exchange, held: bool) -> None:
+        """A front has stopped reading a transcriber, or goes on.
+
+        Guards a transcriber against being taken for silent while it is the client that does not read.
+        """
+        if exchange.held and not held:
+            now = self.clock.now()
+            exchange.sent.extend([now] * len(exchange.sent))  # its length is bounded: the old ones fall out
+            while exchange.sent and exchange.sent[0] != now:
+                exchange.sent.popleft()
+        exchange.held = held
+
     # --- relays -------------------------------------------------------------------------------------
 
     def may_write(self, relay: Relay) -> bool:
@@ -618,6 +631,6 @@
         self.clock.call_later(SWEEP_NS, self._sweep)
         now = self.clock.now()
         for exchange in self.standing():
-            if exchange.sent and now - exchange.sent[0] > SILENT_NS:
+            if exchange.sent and not exchange.held and now - exchange.sent[0] > SILENT_NS:
                 self.counters.add("silent")
                 self.move(exchange, api.Result.TIMEOUT)
--- /dev/null
+++ b/puffinpost/edge/outbox.py
@@ -0,0 +1,154 @@
+"""What a device is owed: messages in order, kept until it has acknowledged them, written anew on a new link.
+
+The box knows no link. It is asked for what is due (``due``), told of acknowledgements, either all up to a
+count (``acknowledge``) or of one message (``release``), and told that a new link has come (``rewind``).
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+
+from puffinpost.edge.numbers import after, ahead
+
+OVERHEAD = 150  # bytes that a kept message costs beside its own; 146 by tracemalloc, on CPython 3.11
+# A link that has just come back gets so many messages before the first acknowledgement; each one that comes
+# lets two more out. Guards the node against a link that flaps: it must not have all written at each return.
+FIRST_WINDOW = 16
+
+
+class AckError(ValueError):
+    """An acknowledgement of what was never sent, or one that runs backwards."""
+
+
+@dataclass(slots=True)
+class Entry:
+    """A message for the device. ``kind`` and ``data`` are the front's; ``number`` counts from 1 and wraps."""
+
+    number: int
+    kind: str
+    data: bytes
+    sends: int = 0  # on how many links it was written
+
+    @property
+    def size(self) -> int:
+        """What it costs to keep, in bytes."""
+        return len(self.data) + OVERHEAD
+
+
+class Outbox:
+    """Messages for one device that are not acknowledged."""
+
+    def __init__(self, first: int = 0) -> None:
+        self.acknowledged = first  # the count of the last message of the unbroken run that is acknowledged
+        self.octets = 0
+        self._last = first
+        self._out: dict[int, Entry] = {}  # written on the present link, in order
+        self._waiting: deque[Entry] = deque()
+        self._window: int | None = None  # None: no limit, as the link has shown that it carries
+        self._replay = 0  # how many of those that wait were written before
+
+    def __len__(self) -> int:
+        return len(self._out) + len(self._waiting)
+
+    def entries(self) -> list[Entry]:
+        """All that is kept, in order."""
+        return [*self._out.values(), *self._waiting]
+
+    @property
+    def out(self) -> int:
+        """How many are written on the present link and not acknowledged."""
+        return len(self._out)
+
+    @property
+    def replaying(self) -> bool:
+        """Whether something that an earlier link was given waits to be written again."""
+        return self._replay > 0
+
+    @property
+    def held(self) -> bool:
+        """Whether something waits that the window alone keeps back: time to ask for an acknowledgement."""
+        return bool(self._waiting) and self._window is not None and len(self._out) >= self._window
+
+    def push(self, kind: str, data: bytes) -> Entry:
+        """Takes a message in."""
+        self._last = after(self._last)
+        entry = Entry(self._last, kind, data)
+        self._waiting.append(entry)
+        self.octets += entry.size
+        return entry
+
+    def due(self, most: int | None = None) -> list[Entry]:
+        """What is to be written now, in order. ``most``: how many may be out unacknowledged (MQTT 5,
+        4.9; the receive maximum). What is returned counts as written.
+        """
+        limit = min(bound for bound in (most, self._window, len(self)) if bound is not None)
+        found: list[Entry] = []
+        while self._waiting and len(self._out) < limit:
+            entry = self._waiting.popleft()
+            if entry.sends and self._replay:
+                self._replay -= 1
+            entry.sends += 1
+            self._out[entry.number] = entry
+            found.append(entry)
+        return found
+
+    def acknowledge(self, count: int) -> list[Entry]:
+        """The device has all up to a count. Raises ``AckError`` where that cannot be, and changes nothing."""
+        wanted = ahead(count, self.acknowledged)
+        numbers = list(self._out)[:wanted]
+        if wanted and (len(numbers) < wanted or numbers[-1] != count):
+            raise AckError(f"{count} messages acknowledged, and {self.acknowledged} to "
+                           f"{after(self.acknowledged, len(self._out))} is what can be")
+        return [entry for number in numbers if (entry := self.release(number)) is not None]
+
+    def release(self, number: int) -> Entry | None:
+        """The device has one message. None where it is not out: an acknowledgement that comes twice."""
+        entry = self._out.pop(number, None)
+        if entry is None:
+            return None
+        self.octets -= entry.size
+        first = next(iter(self._out), None)
+        rest = self._waiting[0].number if self._waiting else after(self._last)
+        self.acknowledged = after(first if first is not None else rest, -1)
+        if self._window is not None:
+            # Each acknowledgement takes one off those that are out, so the window grows by one to let two go.
+            self._window = self._window + 1 if self.replaying else None
+        return entry
+
+    def rewind(self) -> None:
+        """A new link: what is not acknowledged is due again, before what was never written."""
+        again = list(self._out.values())
+        self._waiting.extendleft(reversed(again))
+        self._out.clear()
+        self._replay = sum(entry.sends > 0 for entry in self._waiting)
+        self._window = FIRST_WINDOW if self._waiting else None
+
+    def drop(self) -> int:
+        """Forgets all that is kept; how many that was."""
+        lost = len(self)
+        self._out.clear()
+        self._waiting.clear()
+        self.octets = self._replay = 0
+        self.acknowledged, self._window = self._last, None
+        return lost
+
+    # --- succession ---------------------------------------------------------------------------------
+
+    def pack(self) -> dict[str, Any]:
+        """All of it as JSON can hold it, for another process of this node."""
+        return {"acknowledged": self.acknowledged, "last": self._last,
+                "entries": [[it.number, it.kind, it.data.hex(), it.sends] for it in self.entries()]}
+
+    @classmethod
+    def unpack(cls, state: dict[str, Any]) -> Outbox:
+        """What ``pack`` gave, with nothing out. Raises ``KeyError``, ``TypeError`` or ``ValueError``."""
+        made = cls()
+        made.acknowledged, made._last = int(state["acknowledged"]), int(state["last"])
+        for number, kind, data, sends in state["entries"]:
+            entry = Entry(int(number), str(kind), bytes.fromhex(data), int(sends))
+            made._waiting.append(entry)
+            made.octets += entry.size
+        made.rewind()
+        return made
--- /dev/null
+++ b/puffinpost/fronts/mqtt.py
@@ -0,0 +1,706 @@
+"""MQTT: sessions of devices over topics of this node's own. It is no broker; docs/mqtt.md has the topics.
+
+``MqttLink`` is one connection, ``MqttDevice`` what outlives it: the message, its relay, what is owed to the
+device. All that is decided about returns is decided in ``edge``; all that is decided about transcribers, in
+the core. This module translates.
+"""
+
+from __future__ import annotations
+
+import hmac
+import secrets
+import socket
+from typing import Any
+
+from puffinpost import log
+from puffinpost.config import MqttConfig
+from puffinpost.core import MS, Core, DuplicateError, Exchange, Relay
+from puffinpost.edge.outbox import Entry
+from puffinpost.edge.registry import FullError, Registry
+from puffinpost.edge.session import Session, Why
+from puffinpost.fronts.opening import message_of
+from puffinpost.fronts.transcriber import TranscriberSide
+from puffinpost.net.link import Link, Tls
+from puffinpost.net.places import Places
+from puffinpost.net.south import Dialler
+from puffinpost.protocol import lines, mqtt
+from puffinpost.protocol.mqtt import Ack, Kind, MqttError, Publish, Reason
+from puffinpost.protocol.mqtt_qos import Inbound, Outbound
+
+BASE = "puffinpost/"
+OPEN, UP, BYE = BASE + "open", BASE + "up", BASE + "bye"  # from the device
+ANSWER, DOWN, MOVE, FAULT = BASE + "answer", BASE + "down", BASE + "move", BASE + "fault"  # to it; BYE also
+TO_DEVICE = (ANSWER, DOWN, MOVE, BYE, FAULT)
+LONGEST_CLIENT_ID = 256
+SURE_CLIENT_ID = 22  # characters of an identifier that nobody guesses: 128 bits in base 64
+LONGEST_PACKET = 8 * 1024  # a line, its topic, and the properties that a client may add
+LEAST_PACKET = 4608  # that a client must take: the longest line, its topic and what stands round it
+MOST_PAYLOAD = lines.LONGEST_LINE - 2
+MOST_HELD = 8 * 1024  # of a device's lines before its session stands; then it is not read any more
+PAUSE_MS = 500  # told to a device that asks for a session when there is no room
+KEEP_ALIVE_GRACE = 1.5  # times the keep-alive, after which a client is taken to be gone (3.1.2.10)
+
+
+class MqttFront:
+    """Takes MQTT clients in."""
+
+    def __init__(self, core: Core, config: MqttConfig, dialler: Dialler, places: Places,
+                 registry: Registry) -> None:
+        self.core = core
+        self.config = config
+        self.dialler = dialler
+        self.places = places
+        self.registry = registry
+        self.links: set[MqttLink] = set()
+        self.leaving = False
+
+    def accept(self, link: Link) -> MqttLink:
+        """A client has connected; the caller runs the link with what is returned."""
+        made = MqttLink(self, link)
+        self.links.add(made)
+        self.places.enter(made)
+        if self.config.tls is not None:
+            link.secure(Tls(self.config.tls, True), made.certified)
+        return made
+
+    def turn_away(self, connection: socket.socket) -> None:
+        """Answers a connection for which there was no descriptor but the spare one: MQTT has no word for it
+        before CONNECT is read, and the close says it.
+        """
+
+    def shut_down(self) -> None:
+        """Ends the connections that are left."""
+        for link in list(self.links):
+            link.end(Reason.SHUTTING_DOWN)
+
+    def user_of(self, packet: mqtt.Connect, certified: str) -> str | None:
+        """Who a client is; None where it has not proven that. Empty for one that names nobody."""
+        if packet.username is None:
+            if certified:
+                return certified
+            return "" if self.config.anonymous else None
+        if certified and packet.username == certified and packet.password is None:
+            return certified
+        right = self.config.users.get(packet.username, "")
+        # Compared even where there is no such user, so that the time taken does not tell.
+        same = hmac.compare_digest(right.encode(), packet.password or b"")
+        return packet.username if right and same else None
+
+
+class MqttLink:
+    """One connection of a client's."""
+
+    def __init__(self, front: MqttFront, link: Link) -> None:
+        self.front = front
+        self.core = front.core
+        self.link = link
+        self.parser = mqtt.Parser(LONGEST_PACKET)
+        self.device: MqttDevice | None = None
+        self.generation = 0
+        self.over = False
+        self.heard_ns = 0
+        self.silence_ns = 0  # how long it may be silent; 0: as long as it likes
+        self._name = ""  # on its certificate
+        self._watch: Any = None
+
+    def certified(self, name: str) -> None:
+        """TLS is up."""
+        self._name = name
+
+    @property
+    def version(self) -> int:
+        """The protocol's version; 5 until it is known."""
+        return self.parser.version or mqtt.V5
+
+    # --- what the link tells (Receiver) -------------------------------------------------------------
+
+    def received(self, data: bytes) -> None:
+        self.heard_ns = self.core.clock.now()
+        self.front.places.heard(self)
+        try:
+            packets = self.parser.feed(data)
+        except MqttError as problem:
+            for packet in problem.before:
+                if not self.over:
+                    self._safely(packet)
+            self._bad(problem)
+            return
+        for packet in packets:
+            if self.over:
+                return
+            self._safely(packet)
+
+    def late(self) -> None:
+        """CONNECT did not come in time, or the place of an idle client is needed."""
+        self.end(Reason.QUOTA)
+
+    def lost(self, reset: bool) -> None:
+        self._leave()
+
+    def broke(self) -> None:
+        self.end(Reason.UNSPECIFIED)
+
+    # --- packets ------------------------------------------------------------------------------------
+
+    def _safely(self, packet: mqtt.Packet) -> None:
+        try:
+            self._packet(packet)
+        except MqttError as problem:
+            self._bad(problem)
+
+    def _bad(self, problem: MqttError) -> None:
+        self.core.counters.add("mqtt_bad_packets")
+        log.say(f"bad packet from an MQTT client: {problem}", often=True)
+        if self.device is None and self.parser.version:
+            self._refuse(problem.reason)
+        else:
+            self.end(problem.reason)
+
+    def _packet(self, packet: mqtt.Packet) -> None:
+        device = self.device
+        if isinstance(packet, mqtt.Connect):
+            self._connect(packet)
+        elif device is None:
+            raise MqttError(Reason.PROTOCOL_ERROR, "a packet before CONNECT was answered")
+        elif isinstance(packet, Publish):
+            device.published(packet)
+        elif isinstance(packet, Ack):
+            device.acknowledged(packet)
+        elif isinstance(packet, mqtt.Subscribe):
+            self.write(mqtt.Granted(Kind.SUBACK, packet.number, device.subscribe(packet)))
+        elif isinstance(packet, mqtt.Unsubscribe):
+            codes = tuple(0 if device.subscriptions.pop(topic, None) is not None
+                          else Reason.NO_SUBSCRIPTION_EXISTED for topic in packet.filters)
+            self.write(mqtt.Granted(Kind.UNSUBACK, packet.number, codes))
+        elif isinstance(packet, mqtt.Ping) and packet.kind is Kind.PINGREQ:
+            self.write(mqtt.Ping(Kind.PINGRESP))
+        elif isinstance(packet, mqtt.Goodbye) and packet.kind is Kind.DISCONNECT:
+            self._disconnect(packet)
+        else:
+            raise MqttError(Reason.PROTOCOL_ERROR, f"{type(packet).__name__} is not for a client to send")
+
+    def _connect(self, packet: mqtt.Connect) -> None:
+        given, registry = packet.properties, self.front.registry
+        if "authentication_method" in given:
+            self._refuse(Reason.BAD_AUTH_METHOD)
+            return
+        if given.get("maximum_packet_size", LEAST_PACKET) < LEAST_PACKET:
+            self._refuse(Reason.IMPLEMENTATION, f"a line may need {LEAST_PACKET} bytes")
+            return
+        user = self.front.user_of(packet, self._name)
+        if user is None:
+            self.core.counters.add("mqtt_bad_login")
+            self._refuse(Reason.BAD_LOGIN if packet.username is not None else Reason.NOT_AUTHORIZED)
+            return
+        if self.front.leaving:
+            self._refuse(Reason.SHUTTING_DOWN)
+            return
+        if len(packet.client_id) > LONGEST_CLIENT_ID or (
+            not packet.client_id and packet.version == mqtt.V311 and not packet.clean
+        ):
+            self._refuse(Reason.BAD_CLIENT_ID)
+            return
+        # Where clients name nobody, the identifier alone tells one from another, so it must not be guessed.
+        sure = bool(user) or len(packet.client_id) >= SURE_CLIENT_ID or not packet.client_id
+        assigned = "" if packet.client_id else secrets.token_urlsafe(18)
+        name = f"mqtt:{user}:{packet.client_id or assigned}" if sure else ""
+        expiry_s = given.get("session_expiry", 0) if packet.version == mqtt.V5 else (
+            0 if packet.clean else 0xFFFFFFFF)
+        grace_ns = min(expiry_s * 1000 * MS, registry.limits.grace_ns) if sure else 0
+        old = registry.named(name, user) if name else None
+        present = old is not None and not packet.clean and isinstance(old.bearer, MqttDevice)
+        if old is not None and not present:
+            # What it has under way is closed before anything new begins.
+            old.bearer.replaced()
+            old = None
+        try:
+            if old is None:
+                old = registry.begin(user, name, grace_ns)
+                MqttDevice(self.front, old)
+        except FullError:
+            self._refuse(Reason.QUOTA)
+            return
+        old.grace_ns = grace_ns
+        self._accept(packet, old.bearer, present, assigned, expiry_s)
+
+    def _accept(self, packet: mqtt.Connect, device: MqttDevice, present: bool, assigned: str,
+                expiry_s: int) -> None:
+        self._keep_alive(packet)
+        told: dict[str, Any] = {
+            "receive_maximum": self.front.config.receive_maximum, "retain_available": 0,
+            "maximum_packet_size": LONGEST_PACKET, "subscription_ids_available": 0, "shared_available": 0,
+        }
+        if assigned:
+            told["assigned_client_id"] = assigned
+        granted_s = device.session.grace_ns // (1000 * MS)
+        if granted_s != expiry_s:
+            told["session_expiry"] = granted_s
+        if self.silence_ns and self._most_silence(packet.keep_alive) != self.silence_ns:
+            told["server_keep_alive"] = self.front.config.keep_alive_s
+        self.device = device
+        self.write(mqtt.Connack(0, present, told))
+        self.front.places.rest(self)
+        device.linked(self, packet, present)
+
+    def _refuse(self, reason: Reason, text: str = "") -> None:
+        code = mqtt.connack_code(reason, self.version)
+        self.write(mqtt.Connack(code, properties={"reason_string": text} if text else {}))
+        self._close()
+
+    def _disconnect(self, packet: mqtt.Goodbye) -> None:
+        device, expiry_s = self.device, packet.properties.get("session_expiry")
+        assert device is not None
+        if expiry_s is not None:
+            if expiry_s and not device.session.grace_ns:
+                raise MqttError(Reason.PROTOCOL_ERROR, "an expiry after a connection without one")  # 3.14.2.2
+            device.session.grace_ns = min(expiry_s * 1000 * MS, device.session.limits.grace_ns)
+        self._close()
+
+    # --- keep-alive ---------------------------------------------------------------------------------
+
+    @staticmethod
+    def _most_silence(keep_alive_s: int) -> int:
+        return int(keep_alive_s * KEEP_ALIVE_GRACE * 1000) * MS
+
+    def _keep_alive(self, packet: mqtt.Connect) -> None:
+        most, asked = self.front.config.keep_alive_s, packet.keep_alive
+        if packet.version == mqtt.V5 and not 0 < asked <= most:
+            asked = most  # a half-dead link is to be found, so there always is one; 3.1.1 cannot be told
+        self.silence_ns = self._most_silence(asked)
+        if self.silence_ns:
+            self._watch = self.core.clock.call_later(self.silence_ns, self._listen)
+
+    def _listen(self) -> None:
+        """One timer a link, set anew when it is due and not whenever something comes."""
+        if self.over:
+            return
+        device = self.device
+        if device is not None and device.held_back:
+            self.heard_ns = self.core.clock.now()  # it is this node that does not read
+        left = self.heard_ns + self.silence_ns - self.core.clock.now()
+        if left > 0:
+            self._watch = self.core.clock.call_later(left, self._listen)
+            return
+        self.core.counters.add("mqtt_silent")
+        self.end(Reason.KEEP_ALIVE)
+
+    # --- within -------------------------------------------------------------------------------------
+
+    def write(self, packet: mqtt.Packet) -> None:
+        """A packet goes out."""
+        if not self.over:
+            self.link.write(mqtt.encode(packet, self.version))
+
+    def end(self, reason: Reason) -> None:
+        """Ends the connection, with a word where the version has one. The session has lost its link."""
+        if not self.over and self.device is not None and self.version == mqtt.V5:
+            self.write(mqtt.Goodbye(Kind.DISCONNECT, int(reason)))
+        self._close()
+
+    def _close(self) -> None:
+        self._leave()
+        self.link.close()
+
+    def _leave(self) -> None:
+        self.over = True
+        self.core.clock.cancel(self._watch)
+        self.front.links.discard(self)
+        self.front.places.left(self)
+        device, self.device = self.device, None
+        if device is not None:
+            device.unlinked(self)
+
+
+class MqttDevice:
+    """One client's session with this node, and the one message that it may have under way."""
+
+    def __init__(self, front: MqttFront, session: Session) -> None:
+        self.front = front
+        self.core = front.core
+        self.session = session
+        session.bearer = self
+        self.on: MqttLink | None = None
+        self.subscriptions: dict[str, int] = {}  # the QoS granted, by filter
+        self.inbound = Inbound(front.config.receive_maximum)
+        self.outbound = Outbound()
+        self.receive_maximum = 65_535  # the client's
+        self.exchange: Exchange | None = None
+        self.opening: lines.Opening | None = None
+        self.last_ident = -1  # of the last message that was opened
+        self.south: TranscriberSide | None = None
+        self.answer = b""  # of the message that stands, to be said again where it is asked again
+        self.asked: tuple[str, bytes | None] = (ANSWER, None)  # where its answer goes, and with what
+        self.held = bytearray()  # whole lines that wait for the transcriber, and ...
+        self.held_lines = 0  # ... how many
+
+    # --- links --------------------------------------------------------------------------------------
+
+    def linked(self, link: MqttLink, packet: mqtt.Connect, present: bool) -> None:
+        """A client has connected, and CONNACK is written."""
+        old, self.on = self.on, link
+        self.receive_maximum = packet.properties.get("receive_maximum", 65_535)
+        if present:
+            link.generation = self.front.registry.attach(self.session)
+        else:
+            link.generation = self.session.generation
+        if old is not None:
+            old.end(Reason.TAKEN_OVER)
+        if self.exchange is not None:
+            self.front.places.left(link)
+            self.front.places.back(self)
+            self._tie()
+        if self.held_back:
+            link.link.hold(True)
+        for number in self.outbound.releasing:
+            link.write(Ack(Kind.PUBREL, number))
+        self.pump()
+
+    def unlinked(self, link: MqttLink) -> None:
+        """A link is gone. Where it was the session's, the session waits for another, or ends."""
+        if self.on is link:
+            self.on = None
+        if not self.front.registry.detach(self.session, link.generation, self.core.clock.now()):
+            return
+        if not self.session.grace_ns:
+            self.front.registry.end(self.session)
+            self.forsaken()
+        elif self.exchange is not None:
+            self.front.places.away(self)
+
+    def forsaken(self) -> None:
+        """The session is over, and what it has under way with it: expired, or without a grace."""
+        exchange, self.exchange = self.exchange, None
+        self.front.places.left(self)
+        if exchange is not None:
+            self.core.gone(exchange)
+
+    def evicted(self) -> None:
+        """The registry has ended the session for want of room."""
+        self.forsaken()
+
+    def replaced(self) -> None:
+        """The client begins afresh: this session ends, and its link if there is one."""
+        link, self.on = self.on, None
+        self.front.registry.end(self.session, Why.REPLACED)
+        if link is not None:
+            link.end(Reason.TAKEN_OVER)
+        self.forsaken()
+
+    def _tie(self) -> None:
+        """Each side's reading waits for what the other side has not taken yet."""
+        south = self.south.link if self.south is not None else None
+        if self.on is not None and south is not None:
+            self.on.link.sink, south.sink = south, self.on.link
+
+    # --- from the device ----------------------------------------------------------------------------
+
+    def published(self, packet: Publish) -> None:
+        """A PUBLISH came. What is refused is acknowledged with its reason, and changes nothing."""
+        if packet.retain and self.version == mqtt.V5:
+            raise MqttError(Reason.RETAIN_UNSUPPORTED, "nothing is retained here")
+        if "topic_alias" in packet.properties:
+            raise MqttError(Reason.ALIAS_INVALID, "no topic alias was allowed")
+        if "subscription_identifier" in packet.properties:
+            raise MqttError(Reason.PROTOCOL_ERROR, "a subscription identifier from a client")
+        if packet.qos and not self.inbound.is_new(packet):
+            self.core.counters.add("mqtt_repeats")
+            self._acknowledge(packet, Reason.SUCCESS)
+            return
+        reason, text = self._take(packet)
+        if reason is Reason.SUCCESS:
+            self.session.handled()
+            if packet.qos == 1:
+                self.inbound.acknowledged(packet)
+        else:
+            self.core.counters.add("mqtt_refused")
+            if packet.qos == 0 or self.version == mqtt.V311:
+                # There is no other word for it: neither QoS 0 nor 3.1.1 has a reason code.
+                self.tell(FAULT, f"{int(reason)} {text}".encode())
+        if packet.qos == 2 and reason >= 0x80 and self.version == mqtt.V5:
+            self.inbound.refused(packet.number)
+        self._acknowledge(packet, reason, text)
+        self.pump()
+
+    def _acknowledge(self, packet: Publish, reason: Reason, text: str = "") -> None:
+        if packet.qos and self.on is not None:
+            kind = Kind.PUBACK if packet.qos == 1 else Kind.PUBREC
+            self.on.write(Ack(kind, packet.number, int(reason), {"reason_string": text} if text else {}))
+
+    def _take(self, packet: Publish) -> tuple[Reason, str]:
+        match packet.topic:
+            case topic if topic == OPEN:
+                return self._open(packet)
+            case topic if topic == UP:
+                return self._line(packet.payload)
+            case topic if topic == BYE:
+                self._end_message()
+                return Reason.SUCCESS, ""
+        return Reason.TOPIC_INVALID, "there is no such topic"
+
+    def _line(self, payload: bytes) -> tuple[Reason, str]:
+        problem = _no_line(payload)
+        if problem:
+            return Reason.PAYLOAD_INVALID, problem
+        exchange = self.exchange
+        if exchange is None:
+            return Reason.NOT_AUTHORIZED, "no session is open"
+        line = payload + b"\r\n"
+        if exchange.standing and self.south is not None:
+            self.south.pass_on(line)
+            return Reason.SUCCESS, ""
+        self.held += line
+        self.held_lines += 1
+        if len(self.held) > MOST_HELD and self.on is not None:
+            self.on.link.hold(True)
+        return Reason.SUCCESS, ""
+
+    def _open(self, packet: Publish) -> tuple[Reason, str]:
+        problem = _no_line(packet.payload)
+        if problem:
+            return Reason.PAYLOAD_INVALID, problem
+        where = packet.properties.get("response_topic", ANSWER)
+        if where != ANSWER and not where.startswith(ANSWER + "/"):
+            return Reason.TOPIC_INVALID, f"answers go to {ANSWER} or below it"
+        if self.qos_for(where) is None or self.qos_for(DOWN) is None:
+            return Reason.NOT_AUTHORIZED, f"subscribe to {where} and {DOWN} first"
+        try:
+            opening = lines.parse_opening(packet.payload + b"\r\n")
+            if opening.at is not None:
+                raise lines.LineError("at= is not for devices")
+            known = self.opening
+            if self.exchange is not None and known is not None:
+                if known.ident != opening.ident:
+                    return Reason.QUOTA, "a client has one session at a time"
+                self._join(where, packet)
+                return Reason.SUCCESS, ""
+            if opening.ident == self.last_ident and self._owes_answer:
+                # It has not seen yet what became of its first attempt, and will.
+                self.core.counters.add("edge_joined")
+                return Reason.SUCCESS, ""
+            peer = self.on.link.peer if self.on is not None else ("0.0.0.0", 0)
+            message = message_of(self.core, opening, peer)
+        except lines.LineError as problem:
+            self.core.counters.add("bad_lines")
+            return Reason.PAYLOAD_INVALID, str(problem)
+        self.asked, self.answer = (where, packet.properties.get("correlation_data")), b""
+        self.opening, self.last_ident = opening, opening.ident
+        if not self.front.places.ask(self):
+            self.core.turned_away(message.klass)
+            self._answer(lines.refusal(PAUSE_MS if self.core.settings.pauses else 0))
+            return Reason.SUCCESS, ""
+        if self.on is not None:
+            self.front.places.left(self.on)
+        try:
+            exchange = self.core.open(message, self)
+        except DuplicateError:
+            self._answer(lines.FAILED)
+            return Reason.SUCCESS, ""
+        # The answer may have been given by now.
+        self.exchange = None if exchange.answered else exchange
+        return Reason.SUCCESS, ""
+
+    def _join(self, where: str, packet: Publish) -> None:
+        """The device asks again for what it has under way: it joins that, and no second attempt begins.
+
+        An answer that is still to come goes to whoever asked last. One that was given, and that the device
+        has acknowledged, is said again in the same words.
+        """
+        self.core.counters.add("edge_joined")
+        self.asked = where, packet.properties.get("correlation_data")
+        if self.answer and not self._owes_answer:
+            self._say_answer(self.answer)
+
+    @property
+    def _owes_answer(self) -> bool:
+        """Whether the device has an answer to come that it has not acknowledged."""
+        return any(entry.kind.startswith(ANSWER) for entry in self.session.outbox.entries())
+
+    def _end_message(self) -> None:
+        """The device is done with its message."""
+        exchange, self.exchange = self.exchange, None
+        self._over()
+        if exchange is not None:
+            self.core.gone(exchange)
+
+    def acknowledged(self, packet: Ack) -> None:
+        """PUBACK, PUBREC, PUBREL or PUBCOMP came."""
+        assert self.on is not None
+        if packet.kind is Kind.PUBREL:
+            known = self.inbound.released(packet.number)
+            self.on.write(Ack(Kind.PUBCOMP, packet.number, 0 if known else int(Reason.ID_NOT_FOUND)))
+            return
+        over, answer = self.outbound.answered(packet.kind, packet.number, packet.code)
+        if over is not None:
+            self.session.release(over)
+        if answer is not None:
+            self.on.write(Ack(answer, packet.number))
+        self.pump()
+
+    def subscribe(self, packet: mqtt.Subscribe) -> tuple[int, ...]:
+        """The codes for the filters of a SUBSCRIBE."""
+        if "subscription_identifier" in packet.properties:
+            raise MqttError(Reason.IDS_UNSUPPORTED, "subscription identifiers are not available")
+        return tuple(self._subscribe(each) for each in packet.filters)
+
+    def _subscribe(self, wanted: mqtt.Filter) -> int:
+        known = self.version == mqtt.V5
+        if wanted.topic.startswith("$share/"):
+            return int(Reason.SHARED_UNSUPPORTED) if known else mqtt.FAILURE_311
+        ours = wanted.topic.startswith(BASE) and (
+            any(mqtt.matches(wanted.topic, topic) for topic in TO_DEVICE)
+            or wanted.topic.startswith(ANSWER + "/")
+        )
+        if not ours or (len(self.subscriptions) >= mqtt.MOST_FILTERS and
+                        wanted.topic not in self.subscriptions):
+            return int(Reason.FILTER_INVALID) if known else mqtt.FAILURE_311
+        self.subscriptions[wanted.topic] = wanted.qos
+        return wanted.qos
+
+    # --- to the device ------------------------------------------------------------------------------
+
+    @property
+    def version(self) -> int:
+        """The protocol's version on the present link."""
+        return self.on.version if self.on is not None else mqtt.V5
+
+    @property
+    def held_back(self) -> bool:
+        """Whether the device is not read just now, for what it has sent waits for its transcriber."""
+        return len(self.held) > MOST_HELD
+
+    def qos_for(self, topic: str) -> int | None:
+        """The QoS of messages to a topic; None where the device has not subscribed to it."""
+        granted = [qos for wanted, qos in self.subscriptions.items() if mqtt.matches(wanted, topic)]
+        return max(granted, default=None)
+
+    def tell(self, topic: str, payload: bytes) -> None:
+        """A message for the device, now or when it is back."""
+        if self.qos_for(topic) is None:
+            self.core.counters.add("mqtt_unsubscribed")
+            return
+        self.session.push(topic, payload)
+        self.pump()
+
+    def pump(self) -> None:
+        """Writes what is due, as far as the client's receive maximum and the window of a return allow."""
+        link = self.on
+        while link is not None and not link.over:
+            entries = self.session.due(max(0, self.receive_maximum - len(self.outbound.releasing)))
+            if not entries:
+                break
+            for entry in entries:
+                self._write(link, entry)
+        self._regulate()
+
+    def _write(self, link: MqttLink, entry: Entry) -> None:
+        topic, _, correlation = entry.kind.partition("\0")
+        sent = self.outbound.qos_of(entry.number)
+        qos = sent if sent is not None else self.qos_for(topic)
+        if not qos:
+            # QoS 0 is over once it is written; one without a subscriber any more is over as it is.
+            if qos == 0:
+                link.write(Publish(topic, entry.data, properties=_correlated(correlation)))
+            self.session.release(entry.number)
+            return
+        number = self.outbound.number_for(entry.number, qos)
+        again = entry.sends > 1
+        link.write(Publish(topic, entry.data, qos, number, again, properties=_correlated(correlation)))
+
+    def _regulate(self) -> None:
+        """A device that is away, or does not acknowledge, holds back its own transcriber once it is owed as
+        much as may be kept for it.
+        """
+        exchange, south = self.exchange, self.south
+        if exchange is None or south is None or south.link is None or not exchange.standing:
+            return
+        if self.session.full and not exchange.held:
+            self.core.counters.add("edge_held_back")
+            south.link.hold(True)
+            self.core.hold(exchange, True)
+        elif exchange.held and self.session.roomy:
+            south.link.hold(False)
+            self.core.hold(exchange, False)
+
+    # --- what the core asks for (North) -------------------------------------------------------------
+
+    def start_relay(self, relay: Relay) -> None:
+        assert self.opening is not None
+        self.south = TranscriberSide(self, relay, self.opening)
+        self.front.dialler.start(self.south)
+
+    def drop_relay(self, relay: Relay) -> None:
+        if self.south is not None and self.south.relay is relay and self.south.link is not None:
+            self.south.link.close()
+
+    def refuse(self, pause_ns: int) -> None:
+        self._answer(lines.refusal(pause_ns // MS))
+
+    def fail(self, overdue: bool) -> None:
+        self._answer(lines.FAILED)
+
+    def move(self) -> None:
+        self.exchange = None
+        self.tell(MOVE, lines.MOVE.rstrip())
+        self._over()
+
+    # --- what the transcriber's side tells (LineNorth) ----------------------------------------------
+
+    def stands(self, up: bytes) -> None:
+        assert self.south is not None
+        self._say_answer(up)
+        if self.held:
+            self.south.pass_on(bytes(self.held), self.held_lines)
+        self._read_on()
+        self._tie()
+
+    def line_back(self, line: bytes, word: lines.Word) -> None:
+        topic = {lines.Word.BYE: BYE, lines.Word.MOVE: MOVE}.get(word, DOWN)
+        self.tell(topic, line.rstrip(b"\r\n"))
+
+    def transcriber_ended(self, word: lines.Word, reset: bool) -> None:
+        self.exchange = None
+        if word is lines.Word.OTHER:
+            self.tell(BYE, b"LOST")
+        self._over()
+
+    # --- within -------------------------------------------------------------------------------------
+
+    def _answer(self, line: bytes) -> None:
+        """The final answer, where the session does not stand; the connection stays for the next one."""
+        self.exchange = None
+        self._say_answer(line)
+        self._over()
+
+    def _say_answer(self, line: bytes) -> None:
+        self.answer = line.rstrip(b"\r\n")
+        topic, correlation = self.asked
+        mark = f"\0{correlation.hex()}" if correlation is not None else ""
+        self.session.push(topic + mark, self.answer)
+        self.pump()
+
+    def _over(self) -> None:
+        """No message is under way any more: the link, if there is one, rests."""
+        self.opening, self.answer = None, b""
+        self._read_on()
+        self.front.places.left(self)
+        if self.on is not None and not self.on.over:
+            self.front.places.rest(self.on)
+
+    def _read_on(self) -> None:
+        self.held, self.held_lines = bytearray(), 0
+        if self.on is not None:
+            self.on.link.hold(False)
+
+
+def _no_line(payload: bytes) -> str:
+    """Why a payload cannot be a line of the platform's protocol; empty where it can."""
+    if len(payload) > MOST_PAYLOAD:
+        return f"a line has at most {MOST_PAYLOAD} bytes"
+    if b"\r" in payload or b"\n" in payload:
+        return "a line holds no CR and no LF"
+    return ""
+
+
+def _correlated(correlation: str) -> dict[str, Any]:
+    return {"correlation_data": bytes.fromhex(correlation)} if correlation else {}
+
--- a/puffinpost/fronts/platform.py
+++ b/puffinpost/fronts/platform.py
@@ -5,9 +5,10 @@
 import socket
 from typing import Any
 
-from puffinpost import interface as api
 from puffinpost import log
-from puffinpost.core import LONGEST_WAIT_MS, Core, DuplicateError, Exchange, Message, Relay
+from puffinpost.core import Core, DuplicateError, Exchange, Relay
+from puffinpost.fronts.opening import message_of
+from puffinpost.fronts.transcriber import TranscriberSide
 from puffinpost.net.link import Link
 from puffinpost.net.places import Places
 from puffinpost.net.south import Dialler
@@ -57,20 +58,6 @@
         """Answers a connection for which there was no descriptor but the spare one."""
         connection.send(self.full)
 
-    def message(self, opening: lines.Opening, source: tuple[str, int]) -> Message:
-        """A first line in the core's terms. ``LineError`` where its class is unknown."""
-        klass = self.core.class_of(opening.klass)
-        if klass is None:
-            raise lines.LineError(f"class {opening.klass[:40]!r} is unknown")
-        # One that stood before the node's start has no such limit: whoever brings it back waits as it likes.
-        if not 0 < opening.wait_ms <= LONGEST_WAIT_MS and opening.at is None:
-            raise lines.LineError(f"d={opening.wait_ms} is no time that a client waits")
-        group = opening.group if self.core.settings.groups else 0
-        return Message(
-            klass, opening.wait_ms * 1_000_000, opening.key, group, opening.load, opening.retry,
-            opening.returning, source, opening.ident,
-        )
-
 
 class Session:
     """One client's connection."""
@@ -131,7 +118,7 @@
 
     def _open(self, line: bytes) -> None:
         self.opening = opening = lines.parse_opening(line)
-        message = self.front.message(opening, self.link.peer)
+        message = message_of(self.core, opening, self.link.peer)
         if not self.front.places.ask(self):
             self.core.turned_away(message.klass)
             self._say(self.front.full)
@@ -227,6 +214,14 @@
             self.held = bytearray()
         self.link.hold(False)
 
+    def line_back(self, line: bytes, word: lines.Word) -> None:
+        """The transcriber's line goes on, as it came."""
+        self.link.write(line)
+
+    def transcriber_ended(self, word: lines.Word, reset: bool) -> None:
+        """The client's side ends as the transcriber's did."""
+        self.end(reset)
+
     def _say(self, line: bytes) -> None:
         """The last line north."""
         if not self.over:
@@ -241,92 +236,3 @@
     def _leave(self) -> None:
         self.over = True
         self.front.places.left(self)
-
-
-class TranscriberSide:
-    """One relay's connection to its transcriber."""
-
-    def __init__(self, session: Session, relay: Relay, opening: lines.Opening | None) -> None:
-        self.session = session
-        self.core = session.core
-        self.relay = relay
-        self.opening = opening
-        self.link: Link | None = None
-        self.splitter = lines.LineSplitter()
-        self.last = lines.Word.OTHER
-
-    def connected(self) -> None:
-        assert self.opening is not None  # one that was taken over is connected already
-        self._write(self.opening.onward(self.core.left_ms(self.relay)))
-
-    def flushed(self) -> None:
-        self.core.written(self.relay)
-
-    def pass_on(self, data: bytes, count: int = 1) -> None:
-        """Lines of the client's, as they came."""
-        self._write(data)
-        self.core.line_north(self.relay.exchange, len(data), count)
-
-    def _write(self, data: bytes) -> None:
-        if self.link is not None:
-            self.link.write(data)
-
-    # --- what the transcriber does (Receiver) -------------------------------------------------------
-
-    def received(self, data: bytes) -> None:
-        try:
-            for line in self.splitter.feed(data):
-                if self.relay.over:
-                    return
-                if self.relay.exchange.standing:
-                    self._standing(line)
-                else:
-                    self._answer(line)
-        except lines.LineError as problem:
-            log.say(f"bad line from {self.core.inventory.name(self.relay.server)}: {problem}")
-            self.broke()
-
-    def _answer(self, line: bytes) -> None:
-        word = lines.word_of(line)
-        if word is lines.Word.UP:
-            if self.core.up(self.relay):
-                self.session.stands(line)
-            return
-        result = {lines.Word.BUSY: api.Result.REJECTED, lines.Word.MOVE: api.Result.CANCELLED}.get(
-            word, api.Result.ERROR
-        )
-        self._over(result, lines.report_of(line, self.core.settings.report_fields))
-
-    def _standing(self, line: bytes) -> None:
-        word = lines.word_of(line)
-        if word is lines.Word.LOAD:
-            load = lines.load_of(line)
-            if load is not None:
-                self.core.load(self.relay, load)
-        elif word in (lines.Word.BYE, lines.Word.MOVE):
-            self.last = word
-        if not self.relay.over:
-            self.session.link.write(line)
-            self.core.line_south(self.relay, len(line), word is lines.Word.OTHER)
-
-    def lost(self, reset: bool) -> None:
-        if self.relay.exchange.standing:
-            result = {lines.Word.BYE: api.Result.SERVED, lines.Word.MOVE: api.Result.CANCELLED}.get(
-                self.last, api.Result.RESET
-            )
-            # The client's side ends as this one did.
-            self.session.end(reset)
-            self._over(result)
-        else:
-            self._over(api.Result.RESET)
-
-    def broke(self) -> None:
-        standing = self.relay.exchange.standing
-        self._over(api.Result.RESET if standing else api.Result.ERROR)
-        if standing:
-            self.session.end(True)
-
-    def _over(self, result: api.Result, report: tuple[float, ...] = ()) -> None:
-        if self.link is not None:
-            self.link.close()
-        self.core.ended(self.relay, result, report)
--- /dev/null
+++ b/puffinpost/fronts/transcriber.py
@@ -0,0 +1,114 @@
+"""A relay on the platform's wire: the node's side of a connection to a transcriber, for any front."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from puffinpost import interface as api
+from puffinpost import log
+from puffinpost.core import Core, Relay
+from puffinpost.net.link import Link
+from puffinpost.protocol import lines
+
+
+class LineNorth(Protocol):
+    """What a front's session does with what a transcriber says."""
+
+    core: Core
+
+    def stands(self, up: bytes) -> None:
+        """The transcriber took the connection, with this line."""
+
+    def line_back(self, line: bytes, word: lines.Word) -> None:
+        """A whole line came while it stood."""
+
+    def transcriber_ended(self, word: lines.Word, reset: bool) -> None:
+        """The transcriber ended a connection that stood, after this word, if one of an end was said."""
+
+
+class TranscriberSide:
+    """One relay's connection to its transcriber."""
+
+    def __init__(self, session: LineNorth, relay: Relay, opening: lines.Opening | None) -> None:
+        self.session = session
+        self.core = session.core
+        self.relay = relay
+        self.opening = opening
+        self.link: Link | None = None
+        self.splitter = lines.LineSplitter()
+        self.last = lines.Word.OTHER
+
+    def connected(self) -> None:
+        assert self.opening is not None  # one that was taken over is connected already
+        self._write(self.opening.onward(self.core.left_ms(self.relay)))
+
+    def flushed(self) -> None:
+        self.core.written(self.relay)
+
+    def pass_on(self, data: bytes, count: int = 1) -> None:
+        """Lines of the client's, as they came."""
+        self._write(data)
+        self.core.line_north(self.relay.exchange, len(data), count)
+
+    def _write(self, data: bytes) -> None:
+        if self.link is not None:
+            self.link.write(data)
+
+    # --- what the transcriber does (Receiver) -------------------------------------------------------
+
+    def received(self, data: bytes) -> None:
+        try:
+            for line in self.splitter.feed(data):
+                if self.relay.over:
+                    return
+                if self.relay.exchange.standing:
+                    self._standing(line)
+                else:
+                    self._answer(line)
+        except lines.LineError as problem:
+            log.say(f"bad line from {self.core.inventory.name(self.relay.server)}: {problem}")
+            self.broke()
+
+    def _answer(self, line: bytes) -> None:
+        word = lines.word_of(line)
+        if word is lines.Word.UP:
+            if self.core.up(self.relay):
+                self.session.stands(line)
+            return
+        result = {lines.Word.BUSY: api.Result.REJECTED, lines.Word.MOVE: api.Result.CANCELLED}.get(
+            word, api.Result.ERROR
+        )
+        self._over(result, lines.report_of(line, self.core.settings.report_fields))
+
+    def _standing(self, line: bytes) -> None:
+        word = lines.word_of(line)
+        if word is lines.Word.LOAD:
+            load = lines.load_of(line)
+            if load is not None:
+                self.core.load(self.relay, load)
+        elif word in (lines.Word.BYE, lines.Word.MOVE):
+            self.last = word
+        if not self.relay.over:
+            self.session.line_back(line, word)
+            self.core.line_south(self.relay, len(line), word is lines.Word.OTHER)
+
+    def lost(self, reset: bool) -> None:
+        if self.relay.exchange.standing:
+            result = {lines.Word.BYE: api.Result.SERVED, lines.Word.MOVE: api.Result.CANCELLED}.get(
+                self.last, api.Result.RESET
+            )
+            self.session.transcriber_ended(self.last, reset)
+            self._over(result)
+        else:
+            self._over(api.Result.RESET)
+
+    def broke(self) -> None:
+        standing = self.relay.exchange.standing
+        self._over(api.Result.RESET if standing else api.Result.ERROR)
+        if standing:
+            self.session.transcriber_ended(lines.Word.OTHER, True)
+
+    def _over(self, result: api.Result, report: tuple[float, ...] = ()) -> None:
+        if self.link is not None:
+            self.link.close()
+        self.core.ended(self.relay, result, report)
--- a/puffinpost/net/link.py
+++ b/puffinpost/net/link.py
@@ -130,6 +130,8 @@
                 self.door.gone(self)
 
     async def _read(self, receiver: Receiver) -> None:
+        if self._upgrade is not None:  # TLS from the first byte on
+            await self._secure(*self._upgrade)
         while not self._closing:
             if not self._open.is_set():
                 await self._open.wait()
@@ -170,7 +172,8 @@
     def secure(self, tls: Tls, done: Callable[[str], None]) -> None:
         """Goes over to TLS once what was written is out; ``done`` is told the name on the peer's certificate.
 
-        To be called while bytes are being received: nothing more is read in the clear.
+        To be called while bytes are being received, or before the link runs: nothing more is read in the
+        clear.
         """
         self._upgrade = tls, done
 
--- a/puffinpost/net/places.py
+++ b/puffinpost/net/places.py
@@ -10,7 +10,7 @@
 import math
 import time
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 from puffinpost.counters import Counters
 from puffinpost.net.link import Link
@@ -27,9 +27,9 @@
 
 
 class Visitor(Protocol):
-    """A client's connection, as a front knows it."""
-
-    link: Link
+    """A client's connection, as a front knows it. Where sessions outlive connections, who has a session is
+    another object, which is never ended for want of room and needs no method.
+    """
 
     def late(self) -> None:
         """Its time is over, or its place is needed: answer and close."""
@@ -48,7 +48,8 @@
         self._heard: dict[Visitor, float] = {}  # ... when they came, or were heard last
         self._begun: set[Visitor] = set()  # newcomers that were heard
         self._guests: dict[Visitor, float] = {}  # until when; the one that was heard last stands last
-        self._sessions: set[Visitor] = set()
+        self._sessions: set[Any] = set()
+        self._away: set[Any] = set()  # sessions whose client has lost its link; the relay stands
         self._call_later = call_later
         self._sweep()
 
@@ -81,9 +82,10 @@
             self._end(next(iter(self._guests)))
         self._make_room(now)
 
-    def ask(self, visitor: Visitor) -> bool:
+    def ask(self, visitor: Any) -> bool:
         """A client's message is to be served. False: there is no room for a session and its relay."""
-        if 2 * (len(self._sessions) + 1) > self.for_sessions:
+        # Those that are away count as whole: they may be back at any moment.
+        if 2 * (len(self._sessions) + len(self._away) + 1) > self.for_sessions:
             self.counters.add("no_room")
             return False
         self.left(visitor)
@@ -91,7 +93,20 @@
         self._make_room(time.monotonic())
         return True
 
-    def take_over(self, visitor: Visitor) -> None:
+    def away(self, visitor: Any) -> None:
+        """A session's client has lost its link; the relay keeps its descriptor."""
+        if visitor in self._sessions:
+            self._sessions.discard(visitor)
+            self._away.add(visitor)
+
+    def back(self, visitor: Any) -> None:
+        """The client of a session that was away has a link again."""
+        if visitor in self._away:
+            self._away.discard(visitor)
+            self._sessions.add(visitor)
+            self._make_room(time.monotonic())
+
+    def take_over(self, visitor: Any) -> None:
         """A session comes from another process of this node, which had room for it."""
         self._sessions.add(visitor)
         self._make_room(time.monotonic())
@@ -112,15 +127,17 @@
     @property
     def taken(self) -> int:
         """How many descriptors the north side holds, relays included."""
-        return len(self._newcomers) + len(self._guests) + len(self.leaving) + 2 * len(self._sessions)
+        passing = len(self._newcomers) + len(self._guests) + len(self.leaving)
+        return passing + 2 * len(self._sessions) + len(self._away)
 
-    def left(self, visitor: Visitor) -> None:
+    def left(self, visitor: Any) -> None:
         """A client's connection is over, or changes its kind."""
         self._newcomers.pop(visitor, None)
         self._heard.pop(visitor, None)
         self._begun.discard(visitor)
         self._guests.pop(visitor, None)
         self._sessions.discard(visitor)
+        self._away.discard(visitor)
 
     def last_word(self, link: Link) -> None:
         """A connection is being closed, and waits for its client to read the answer."""
--- /dev/null
+++ b/puffinpost/wiring/keeper.py
@@ -0,0 +1,26 @@
+"""The one timer of all sessions that are without a link."""
+
+from __future__ import annotations
+
+from puffinpost.core import MS, Clock
+from puffinpost.edge.registry import Registry
+
+# Graces end in steps of this, so that a thousand links lost together cost few wake-ups.
+STEP_NS = 100 * MS
+
+
+class Keeper:
+    """Ends sessions whose grace is over, and tells their bearers."""
+
+    def __init__(self, registry: Registry, clock: Clock) -> None:
+        self.registry = registry
+        self.clock = clock
+        self._look()
+
+    def _look(self) -> None:
+        self.clock.call_later(STEP_NS, self._look)
+        due = self.registry.next_due()
+        if due is not None and due <= self.clock.now():
+            for session in self.registry.expire(self.clock.now()):
+                if session.bearer is not None:
+                    session.bearer.forsaken()
--- a/puffinpost/wiring/leaving.py
+++ b/puffinpost/wiring/leaving.py
@@ -5,11 +5,11 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from typing import Protocol
 
 from puffinpost.core import Core
 from puffinpost.fronts.platform import PlatformFront
-from puffinpost.fronts.xmpp import XmppFront
 from puffinpost.net.listener import Listener
 from puffinpost.net.places import Places
 
@@ -25,7 +25,14 @@
 TICK_S = 0.02
 
 
-async def leave(core: Core, front: PlatformFront, xmpp: XmppFront | None, places: Places,
+class Leaver(Protocol):
+    """A front whose connections outlive their sessions."""
+
+    def shut_down(self) -> None:
+        """Ends the connections that are left."""
+
+
+async def leave(core: Core, front: PlatformFront, others: Sequence[Leaver], places: Places,
                 listeners: list[Listener], succeeded: Callable[[], bool]) -> None:
     """Ends all service. ``succeeded``: another process accepts in its place, and is given what stands."""
     longest = max(item.deadline_ns for item in core.settings.classes) / 1e9
@@ -64,8 +71,8 @@
     for exchange in list(core.exchanges.values()):
         core.move(exchange)
         core.dismiss(exchange)
-    if xmpp is not None:
-        xmpp.shut_down()
+    for other in others:
+        other.shut_down()
     await asyncio.sleep(TICK_S)
     while places.leaving and time.monotonic() < end:
         await asyncio.sleep(TICK_S)  # an exit would reset those that have not read their last word
--- a/puffinpost/wiring/node.py
+++ b/puffinpost/wiring/node.py
@@ -7,16 +7,18 @@
 import sys
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from puffinpost import config, log
 from puffinpost.bans import Bans
 from puffinpost.core import Core
 from puffinpost.counters import Counters
+from puffinpost.edge.registry import Registry
 from puffinpost.fronts.platform import PlatformFront
 from puffinpost.fronts.xmpp import XmppFront
 from puffinpost.interface import Result, ServerId
 from puffinpost.inventory import Inventory, InventoryError
+from puffinpost.wiring.keeper import Keeper
 from puffinpost.wiring.leaving import leave
 from puffinpost.net.console import Console
 from puffinpost.net.discovery import Watch
@@ -29,6 +31,9 @@
 from puffinpost.operations import Operations
 from puffinpost.wiring.succession import Succession
 
+if TYPE_CHECKING:
+    from puffinpost.fronts.mqtt import MqttFront
+
 FRESH_S = 4.0  # a start is owed its yes within 6 s; a list that does not come in time is not waited for
 FRESH_STEP_S = 0.01
 BANS_S = 0.05  # how often the file of bans is looked at, for what another process of this node was told
@@ -77,6 +82,14 @@
         self.places = Places(told.for_clients, self.counters, call_later)
         self.front = PlatformFront(self.core, dialler, self.places)
         self.xmpp = XmppFront(self.core, told.xmpp, dialler, self.places) if told.xmpp else None
+        self.registry = Registry(told.resume, self.counters.add)
+        self.keeper = Keeper(self.registry, self.core.clock)
+        self.mqtt: MqttFront | None = None
+        if told.mqtt is not None:
+            # Loaded only where it is on.
+            from puffinpost.fronts.mqtt import MqttFront
+
+            self.mqtt = MqttFront(self.core, told.mqtt, dialler, self.places, self.registry)
         self.bans = Bans(told.folder, told.name)
         self.console = Console(Operations(self.core, self.bans, self._unready).answer, call_later)
         self.flows = FlowSink(told.flows, self.core) if told.flows else None
@@ -153,6 +166,12 @@
                 self.succession.listening(xmpp.config.listen), self.places,
                 lambda link: self.run_link(link, xmpp.accept(link)), xmpp.turn_away,
             ))
+        mqtt = self.mqtt
+        if mqtt is not None:
+            listeners.append(Listener(
+                self.succession.listening(mqtt.config.listen), self.places,
+                lambda link: self.run_link(link, mqtt.accept(link)), mqtt.turn_away,
+            ))
         for listener in listeners:
             host, port = listener.socket.getsockname()[:2]
             log.say(f"{self.config.name} listens on {host}:{port}, with {self.config.sockets} descriptors")
@@ -215,7 +234,10 @@
         if self.config.counts_every_s:
             loop.call_later(self.config.counts_every_s, self._say_counts_again)
         await self.stop.wait()
-        await leave(self.core, self.front, self.xmpp, self.places, listeners,
+        if self.mqtt is not None:
+            self.mqtt.leaving = True
+        fronts = [front for front in (self.xmpp, self.mqtt) if front is not None]
+        await leave(self.core, self.front, fronts, self.places, listeners,
                     lambda: self.succession.succeeded)
         if self.flows is not None:
             await self.flows.close()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import json
 import os
 import select
@@ -161,9 +162,16 @@
                     peer.close()
 
 
+WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+_ports = itertools.cycle(range(12_000 + 1000 * WORKER, 13_000 + 1000 * WORKER))
+
+
 def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as taken:
-        return int(taken.getsockname()[1])
+    """A port that nothing listens on: below those that the kernel deals out, and of this worker alone."""
+    for port in _ports:
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return port
+    raise AssertionError("never reached: the ports go round")
 
 
 def answer_of(peer: Peer) -> tuple[int, str]:
--- /dev/null
+++ b/tests/test_edge_machine.py
@@ -0,0 +1,268 @@
+"""The edge under every order of losses, returns, retries, answers and timers that a machine can think of.
+
+The real core, registry and MQTT front, with links that are cut at any byte. What must hold, whatever comes:
+one final answer to each message, one relay out at most, lines passed once and in order, memory within bounds.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from mqtt_standins import Device
+from test_core import Stage
+
+from puffinpost.config import MqttConfig
+from puffinpost.core import MS
+from puffinpost.edge.limits import Limits
+from puffinpost.edge.registry import Registry
+from puffinpost.fronts.mqtt import MqttFront, MqttLink
+from puffinpost.fronts.transcriber import TranscriberSide
+from puffinpost.net.places import Places
+
+LIMITS = Limits(grace_ns=3000 * MS, sessions=4, messages=24, octets=16_384, octets_in_all=20_000)
+OPEN = b"OPEN %016x 7f3a9c21e0b4d655 c=live-text,d=2000"
+
+
+class Wire:
+    """What stands in for a ``Link``: bytes that were written wait here until they are carried, or lost."""
+
+    def __init__(self) -> None:
+        self.out = b""
+        self.closed = self.held = False
+        self.sink: Any = None
+        self.peer = ("127.0.0.1", 1)
+
+    def write(self, data: bytes) -> None:
+        if not self.closed:
+            self.out += data
+
+    def close(self, reset: bool = False) -> None:
+        self.closed = True
+
+    def hold(self, held: bool) -> None:
+        self.held = held
+
+    def take(self, size: int) -> bytes:
+        made, self.out = self.out[:size], self.out[size:]
+        return made
+
+
+class Dialler:
+    """Relays that are opened by hand."""
+
+    def __init__(self) -> None:
+        self.sides: list[TranscriberSide] = []
+
+    def start(self, south: Any) -> None:
+        assert all(side.relay.over for side in self.sides), "two relays out"
+        south.link = Wire()
+        self.sides.append(south)
+
+
+class EdgeMachine(RuleBasedStateMachine):
+    """One device, its links, and the transcriber that it happens to be at."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.stage = Stage()
+        core = self.stage.core
+        self.registry = Registry(LIMITS, core.counters.add)
+        self.dialler = Dialler()
+        config = MqttConfig(("", 0), {"ada": "x"}, False, None, 60, 16)
+        places = Places(100, core.counters, lambda after, call: None)
+        self.front = MqttFront(core, config, self.dialler, places, self.registry)  # type: ignore[arg-type]
+        self.device = Device("phone", qos=2)
+        self.wire = Wire()
+        self.wire.closed = True
+        self.link: MqttLink | None = None
+        self.up = b""  # on its way to the node
+        self.opens = self.lines = 0
+        self.sent: dict[int, list[bytes]] = {}  # lines up, by message
+        self.told: dict[int, list[bytes]] = {}  # lines down, by message
+        self.seen: dict[TranscriberSide, bytes] = {}
+        self.answers: dict[bytes, int] = {}
+        self.connect(True)
+
+    # --- links --------------------------------------------------------------------------------------
+
+    @rule(closes=st.booleans())
+    def connect(self, closes: bool) -> None:
+        """A new link; the node may not know yet that the old one is dead."""
+        if closes and self.link is not None and not self.wire.closed:
+            self.wire.close()
+            self.link.lost(True)
+        self.wire = Wire()
+        self.link = self.front.accept(self.wire)  # type: ignore[arg-type]
+        self.up = self.device.connect(username="ada", password=b"x")
+        self.carry(1000)
+        assert self.device.connack is not None and self.device.connack.code == 0
+        if not self.device.connack.present:
+            self.device.subscribe()
+            self.carry(10**6)
+
+    @precondition(lambda self: not self.wire.closed)
+    @rule(up=st.integers(0, 400), down=st.integers(0, 400))
+    def lose(self, up: int, down: int) -> None:
+        """The link is cut, with so many bytes still carried."""
+        self.carry(up, down)
+        if not self.wire.closed:
+            self.wire.close()
+            assert self.link is not None
+            self.link.lost(True)
+        self.wire.out, self.up = b"", b""
+        self.device.connack = None
+
+    @rule(up=st.integers(0, 3000), down=st.integers(0, 3000))
+    def carry_some(self, up: int, down: int) -> None:
+        self.carry(up, down)
+
+    def carry(self, up: int, down: int | None = None) -> None:
+        assert self.link is not None
+        for _ in range(3):
+            self.up += self.device.take()
+            if self.up and up and not self.wire.closed and not self.wire.held:
+                part, self.up = self.up[:up], self.up[up:]
+                self.link.received(part)
+            self.device.feed(self.wire.take(up if down is None else down))
+        self.read()
+
+    # --- the device ---------------------------------------------------------------------------------
+
+    @precondition(lambda self: self.device.connack is not None and not self._busy)
+    @rule()
+    def open(self) -> None:
+        self.opens += 1
+        self.device.publish("open", OPEN % self.opens, correlation_data=b"%d" % self.opens)
+
+    @precondition(lambda self: self.opens > 0 and self._busy)
+    @rule()
+    def ask_again(self) -> None:
+        """The device retries while its first attempt is still out."""
+        self.device.publish("open", OPEN % self.opens, correlation_data=b"%d" % self.opens)
+
+    @property
+    def _busy(self) -> bool:
+        return self.opens > 0 and b"%d" % self.opens not in self.answers
+
+    @precondition(lambda self: self.opens > 0)
+    @rule(count=st.integers(1, 6))
+    def speak(self, count: int) -> None:
+        for _ in range(count):
+            self.lines += 1
+            line = b"%d up %d" % (self.opens, self.lines)
+            self.sent.setdefault(self.opens, []).append(line)
+            self.device.publish("up", line)
+
+    # --- the transcriber ----------------------------------------------------------------------------
+
+    @property
+    def side(self) -> TranscriberSide | None:
+        found = [side for side in self.dialler.sides if not side.relay.over]
+        return found[0] if found else None
+
+    @precondition(lambda self: self.side is not None and not self.side.relay.exchange.standing)
+    @rule(word=st.sampled_from([b"UP 7\r\n", b"UP 7\r\n", b"BUSY\r\n", b"ERR\r\n"]))
+    def answer(self, word: bytes) -> None:
+        side = self.side
+        assert side is not None
+        if not side.relay.written:
+            side.connected()
+            side.flushed()
+        side.received(word)
+
+    @precondition(lambda self: self.side is not None and self.side.relay.exchange.standing)
+    @rule(count=st.integers(1, 30), cut=st.integers(1, 50))
+    def echo(self, count: int, cut: int) -> None:
+        """Lines come from the transcriber, split somewhere, as long as it is read."""
+        side = self.side
+        assert side is not None
+        number = self._number(side)
+        for _ in range(count):
+            assert side.link is not None
+            if side.link.held:  # type: ignore[attr-defined]
+                return
+            line = b"%d down %d" % (number, len(self.told.setdefault(number, [])))
+            self.told[number].append(line)
+            side.received((line + b"\r\n")[:cut])
+            side.received((line + b"\r\n")[cut:])
+
+    @precondition(lambda self: self.side is not None and self.side.relay.exchange.standing)
+    @rule(word=st.sampled_from([b"BYE\r\n", b"MOVE\r\n", b""]))
+    def finish(self, word: bytes) -> None:
+        side = self.side
+        assert side is not None
+        if word:
+            side.received(word)
+        side.lost(not word)
+
+    @rule(status=st.sampled_from(["draining", "up"]))
+    def discover(self, status: str) -> None:
+        self.stage.tell(status, "up")
+
+    @rule(span_ms=st.sampled_from([1, 100, 600, 2500, 4000]))
+    def wait(self, span_ms: int) -> None:
+        self.stage.run(span_ms)
+        for session in self.registry.expire(self.stage.now()):
+            session.bearer.forsaken()
+
+    # --- what holds ---------------------------------------------------------------------------------
+
+    def _number(self, side: TranscriberSide) -> int:
+        return side.relay.exchange.message.ident or 0
+
+    def read(self) -> None:
+        """What the device has been told since."""
+        for topic, payload, properties in self.device.got:
+            if topic == "answer":
+                asked = properties["correlation_data"]
+                self.answers[asked] = self.answers.get(asked, 0) + 1
+            elif topic == "down":
+                number = int(payload.split()[0])
+                expected = self.told[number]
+                assert expected and payload == expected.pop(0), "a line was lost, doubled or out of order"
+                self.told[number] = expected
+        self.device.got.clear()
+
+    @invariant()
+    def lines_up_come_once_and_in_order(self) -> None:
+        for side in self.dialler.sides:
+            written = side.link.out.split(b"\r\n")[:-1]  # type: ignore[union-attr]
+            if written:
+                assert written[0].startswith(b"OPEN ")
+                numbers = [int(line.split()[-1]) for line in written[1:]]
+                assert numbers == list(range(numbers[0], numbers[0] + len(numbers))) if numbers else True
+
+    @invariant()
+    def memory_is_bounded(self) -> None:
+        boxes = [session.outbox for session in self.registry.sessions.values()]
+        assert self.registry.octets == sum(box.octets for box in boxes) <= LIMITS.octets_in_all
+        # One line may come over the bound, and an end and an answer behind it.
+        assert all(len(box) <= LIMITS.messages + 3 for box in boxes)
+        assert len(self.registry.sessions) <= LIMITS.sessions
+
+    @invariant()
+    def each_message_has_one_answer(self) -> None:
+        assert all(count == 1 for count in self.answers.values()), self.answers
+
+    def teardown(self) -> None:
+        """In the end the device comes back once more, and nothing is left owing."""
+        self.connect(True)
+        for _ in range(40):
+            self.carry(10**6)
+        self.stage.run(10_000)
+        for _ in range(10):
+            self.carry(10**6)
+        self.each_message_has_one_answer()
+        assert self.stage.core.counters.get("exceptions") == 0
+        session = next(iter(self.registry.sessions.values()))
+        assert len(session.outbox) == 0 and self.registry.octets == 0
+        assert session.bearer.exchange is None or session.bearer.exchange.standing
+
+
+EdgeMachine.TestCase.settings = settings(
+    max_examples=120, stateful_step_count=40, derandomize=True, deadline=None, database=None,
+)
+TestEdge = EdgeMachine.TestCase
