An id names one message: a late repeat of an open never begins a second attempt

Cause: an open that was repeated before its answer, and carried only after the answer was acknowledged, was answered again, or opened anew where the message was over by then.

Change: an open with the id of the device's last message always joins it; only at QoS 0 is the answer said again.

--- a/puffinpost/fronts/mqtt.py
+++ b/puffinpost/fronts/mqtt.py
@@ -328,7 +328,7 @@
         self.opening: lines.Opening | None = None
         self.last_ident = -1  # of the last message that was opened
         self.south: TranscriberSide | None = None
-        self.answer = b""  # of the message that stands, to be said again where it is asked again
+        self.answer = b""  # of the last message; empty before it is given
         self.asked: tuple[str, bytes | None] = (ANSWER, None)  # where its answer goes, and with what
         self.held = bytearray()  # whole lines that wait for the transcriber, and ...
         self.held_lines = 0  # ... how many
@@ -467,16 +467,11 @@
             opening = lines.parse_opening(packet.payload + b"\r\n")
             if opening.at is not None:
                 raise lines.LineError("at= is not for devices")
-            known = self.opening
-            if self.exchange is not None and known is not None:
-                if known.ident != opening.ident:
-                    return Reason.QUOTA, "a client has one session at a time"
+            if opening.ident == self.last_ident:
                 self._join(where, packet)
                 return Reason.SUCCESS, ""
-            if opening.ident == self.last_ident and self._owes_answer:
-                # It has not seen yet what became of its first attempt, and will.
-                self.core.counters.add("edge_joined")
-                return Reason.SUCCESS, ""
+            if self.exchange is not None:
+                return Reason.QUOTA, "a client has one session at a time"
             peer = self.on.link.peer if self.on is not None else ("0.0.0.0", 0)
             message = message_of(self.core, opening, peer)
         except lines.LineError as problem:
@@ -500,21 +495,17 @@
         return Reason.SUCCESS, ""
 
     def _join(self, where: str, packet: Publish) -> None:
-        """The device asks again for what it has under way: it joins that, and no second attempt begins.
+        """The device asks again for its last message: it joins that, and no second attempt begins, also
+        where the message is over and the question was only late. An id names one message, once.
 
-        An answer that is still to come goes to whoever asked last. One that was given, and that the device
-        has acknowledged, is said again in the same words.
+        An answer that is still to come goes to whoever asked last. One that was given is given once; only
+        at QoS 0, where nobody knows whether it arrived, it is said again in the same words.
         """
         self.core.counters.add("edge_joined")
         self.asked = where, packet.properties.get("correlation_data")
-        if self.answer and not self._owes_answer:
+        if self.answer and self.qos_for(where) == 0:
             self._say_answer(self.answer)
 
-    @property
-    def _owes_answer(self) -> bool:
-        """Whether the device has an answer to come that it has not acknowledged."""
-        return any(entry.kind.startswith(ANSWER) for entry in self.session.outbox.entries())
-
     def _end_message(self) -> None:
         """The device is done with its message."""
         exchange, self.exchange = self.exchange, None
@@ -680,7 +671,7 @@
 
     def _over(self) -> None:
         """No message is under way any more: the link, if there is one, rests."""
-        self.opening, self.answer = None, b""
+        self.opening = None
         self._read_on()
         self.front.places.left(self)
         if self.on is not None and not self.on.over:
