--- a/puffinpost/config/edge.py
+++ b/puffinpost/config/edge.py
@@ -10,13 +10,15 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from puffinpost.config import schema
 from puffinpost.config.problems import ConfigError
 from puffinpost.edge.limits import Limits
 from puffinpost.inventory import parse_address
-from puffinpost.protocol.xmpp_stream import ClientOptions, ServerOptions
+
+if TYPE_CHECKING:
+    from puffinpost.protocol.xmpp_stream import ClientOptions, ServerOptions
 
 Address = tuple[str, int]
 EDGE_FILE = Path(__file__).parent.parent.parent / "deploy" / "edge.toml"
@@ -131,6 +133,9 @@
         return None
     if table.require_tls and not table.certificate:
         raise ConfigError("xmpp.certificate: require_tls needs one")
+    # Loaded only where the front is on, like all that a plain start does not use.
+    from puffinpost.protocol.xmpp_stream import ClientOptions, ServerOptions
+
     return XmppConfig(
         listen,
         ServerOptions(table.domain, tuple(table.mechanisms), users, bool(table.certificate),
--- a/puffinpost/config/schema.py
+++ b/puffinpost/config/schema.py
@@ -14,8 +14,7 @@
 import msgspec
 from msgspec import Meta
 
-from puffinpost.protocol.xmpp import LEAST_STANZA_LIMIT
-
+LEAST_STANZA_LIMIT = 10_000  # bytes; RFC 6120, 13.12
 Port = Annotated[int, Meta(ge=0, le=65535)]
 
 
--- a/puffinpost/fronts/xmpp.py
+++ b/puffinpost/fronts/xmpp.py
@@ -2,17 +2,24 @@
 
 A client opens a session with an IQ, and its result or error is the final answer; docs/xmpp.md has the
 namespace. While a session stands, messages pass both ways as the bytes that came, addresses aside.
+
+``XmppConnection`` is one connection and its stream, ``XmppSession`` what a bound resource has. With stream
+management (XEP-0198) the second outlives the first; ``edge`` decides on its returns.
 """
 
 from __future__ import annotations
 
 import re
 import socket
+from collections.abc import Mapping
 
 from puffinpost import interface as api
 from puffinpost import log
 from puffinpost.config import XmppConfig
 from puffinpost.core import LONGEST_WAIT_MS, MS, Core, Exchange, Message, Relay
+from puffinpost.edge.outbox import AckError
+from puffinpost.edge.registry import FullError, Registry, ResumeError
+from puffinpost.edge.session import Session, Why
 from puffinpost.net.link import Link, Tls
 from puffinpost.net.places import Places
 from puffinpost.net.south import Dialler
@@ -23,6 +30,7 @@
 NEGOTIATION_S = 30.0  # from the stream's header until a resource is bound; the header has a newcomer's time
 MOST_HELD = 8 * 1024  # of a client's messages before its session stands; then it is not read any more
 HELD_EXTRA = 64  # what each costs beside its bytes
+ASK_EVERY = 8  # stanzas to a managed client before it is asked what it has (XEP-0198, 4)
 _OPEN = re.compile(rb"<(?:[^\s:/>]+:)?open[\s/>]")
 
 
@@ -33,20 +41,22 @@
 class XmppFront:
     """Takes XMPP clients in."""
 
-    def __init__(self, core: Core, config: XmppConfig, dialler: Dialler, places: Places) -> None:
+    def __init__(self, core: Core, config: XmppConfig, dialler: Dialler, places: Places,
+                 registry: Registry) -> None:
         self.core = core
         self.config = config
         self.dialler = dialler
         self.places = places
-        self.sessions: set[XmppSession] = set()
+        self.registry = registry
+        self.connections: set[XmppConnection] = set()
         self.bound: dict[str, XmppSession] = {}
 
-    def accept(self, link: Link) -> XmppSession:
-        """A client has connected; the caller runs the link with the session."""
-        session = XmppSession(self, link)
-        self.sessions.add(session)
-        self.places.enter(session)
-        return session
+    def accept(self, link: Link) -> XmppConnection:
+        """A client has connected; the caller runs the link with what is returned."""
+        made = XmppConnection(self, link)
+        self.connections.add(made)
+        self.places.enter(made)
+        return made
 
     def turn_away(self, connection: socket.socket) -> None:
         """Answers a connection for which there was no descriptor but the spare one."""
@@ -55,8 +65,8 @@
 
     def shut_down(self) -> None:
         """Ends the streams that are left."""
-        for session in list(self.sessions):
-            session.stream.fail("system-shutdown")
+        for each in list(self.connections):
+            each.stream.fail("system-shutdown")
 
     def message(self, element: xmpp.Element, source: tuple[str, int]) -> Message:
         """What an ``open`` asks for, in the core's terms."""
@@ -87,20 +97,16 @@
     return value
 
 
-class XmppSession:
-    """One client's stream, with at most one session on it at a time."""
+class XmppConnection:
+    """One connection of a client's and the stream on it."""
 
     def __init__(self, front: XmppFront, link: Link) -> None:
         self.front = front
         self.core = front.core
         self.link = link
         self.stream = ServerStream(self, front.config.server)
-        self.exchange: Exchange | None = None
-        self.south: TranscriberStream | None = None
-        self.iq = ""  # the id of the IQ that opened the session
-        self.asked = b""  # its child, as it came
-        self.held: list[bytes] = []
-        self.held_size = 0
+        self.session: XmppSession | None = None  # once a resource is bound
+        self.generation = 0
         self.greeted = False
 
     # --- what the link tells (Receiver) -------------------------------------------------------------
@@ -116,15 +122,19 @@
         self.stream.fail("resource-constraint" if self.stream.bound else "connection-timeout")
 
     def ending(self) -> None:
-        if self.exchange is not None and not self.exchange.standing:
-            self.core.withdraw(self.exchange)
+        session = self.session
+        if session is not None and session.managed is None:
+            exchange = session.exchange
+            if exchange is not None and not exchange.standing:
+                self.core.withdraw(exchange)
 
     def lost(self, reset: bool) -> None:
         self.stream.over = True
-        self._leave(reset)
+        self._leave(reset, True)
 
     def broke(self) -> None:
-        self._answer(xmpp.stanza_error("cancel", "internal-server-error"))
+        if self.session is not None:
+            self.session.broke()
         self.stream.fail("internal-server-error")
 
     # --- what the stream tells (Owner) --------------------------------------------------------------
@@ -142,19 +152,234 @@
         # its old stream ends first, and the relay of that with it.
         old = self.front.bound.get(self.stream.bound)
         if old is not None:
-            old.stream.fail("conflict")
-        self.front.bound[self.stream.bound] = self
+            old.replaced()
+        self.session = XmppSession(self.front, self, self.stream.bound)
+        self.front.bound[self.stream.bound] = self.session
         self.greeted = True
-        if self.exchange is None:
-            self.front.places.rest(self)
+        self.front.places.rest(self)
 
     def stream_over(self, clean: bool) -> None:
-        self._leave(False)
+        self._leave(False, False)
         self.link.close()
 
     def stream_stanza(self, stanza: xmpp.Stanza) -> None:
+        session = self.session
+        if session is not None:
+            session.stanza(stanza)
+
+    def stream_managed(self, element: xmpp.Element) -> None:
+        """XEP-0198: enable, resume, and who has what."""
+        session = self.session
+        match element.name:
+            case "resume":
+                self._resume(element)
+            case "enable" if session is not None:
+                self.link.write(session.enable(element))
+            case "r" if session is not None and session.managed is not None:
+                self.link.write(xmpp.management_ack(session.managed.received))
+            case "a" if session is not None and session.managed is not None:
+                count = xmpp.count_of(element)
+                try:
+                    if count is None:
+                        raise AckError("h is not a number of 32 bits")
+                    session.acknowledged(count)
+                except AckError as problem:
+                    self.core.counters.add("edge_bad_acks")
+                    self.stream.fail_managed(count or 0, session.managed.outbox.acknowledged, str(problem))
+
+    def _resume(self, element: xmpp.Element) -> None:
+        registry, count = self.front.registry, xmpp.count_of(element)
+        if count is None:
+            self.link.write(xmpp.management_failed("bad-request"))
+            return
+        try:
+            managed = registry.find(element.attributes.get("previd", ""), f"xmpp:{self.stream.user}",
+                                    self.link.peer[0], self.core.clock.now())
+        except ResumeError as refused:
+            self.link.write(xmpp.management_failed("item-not-found", refused.handled))
+            return
+        session = managed.bearer
+        assert isinstance(session, XmppSession)
+        try:
+            self.generation = registry.attach(managed, count)
+        except AckError as problem:
+            self.stream.fail_managed(count, managed.outbox.acknowledged, str(problem))
+            return
+        self.session, self.greeted = session, True
+        self.stream.resumed(session.bound)
+        token = element.attributes["previd"]
+        self.link.write(f"<resumed xmlns='{xmpp.MANAGED}' h='{managed.received}' previd='{token}'/>".encode())
+        session.linked(self)
+
+    # --- within -------------------------------------------------------------------------------------
+
+    def replaced(self) -> None:
+        """Another connection has this one's session, or its address."""
+        self.session = None
+        self.stream.fail("conflict")
+
+    def _leave(self, reset: bool, lost: bool) -> None:
+        self.front.connections.discard(self)
+        self.front.places.left(self)
+        session, self.session = self.session, None
+        if session is not None:
+            session.unlinked(self, reset, lost)
+
+
+class XmppSession:
+    """What a bound resource has: one message at a time, and with stream management what it is owed."""
+
+    def __init__(self, front: XmppFront, connection: XmppConnection, bound: str) -> None:
+        self.front = front
+        self.core = front.core
+        self.on: XmppConnection | None = connection
+        self.bound = bound
+        self.peer = connection.link.peer
+        self.prefixes = connection.stream.prefixes
+        self.managed: Session | None = None
+        self.exchange: Exchange | None = None
+        self.south: TranscriberStream | None = None
+        self.iq = ""  # the id of the IQ that opened the session
+        self.asked = b""  # its child, as it came
+        self.held: list[bytes] = []
+        self.held_size = 0
+        self._unasked = 0  # stanzas written since the client was asked what it has
+
+    # --- links --------------------------------------------------------------------------------------
+
+    def enable(self, element: xmpp.Element) -> bytes:
+        """Stream management begins; the answer."""
+        connection, registry = self.on, self.front.registry
+        if self.managed is not None or connection is None:
+            return xmpp.management_failed("unexpected-request")
+        grace_ns = 0
+        if element.attributes.get("resume") in ("true", "1"):
+            grace_ns = registry.limits.grace_ns
+            wanted = element.attributes.get("max", "")
+            if wanted.isdigit() and len(wanted) < 10:
+                grace_ns = min(grace_ns, int(wanted) * 1000 * MS)
+        try:
+            managed = registry.begin(f"xmpp:{connection.stream.user}", grace_ns=grace_ns)
+        except FullError:
+            return xmpp.management_failed("resource-constraint")
+        self.managed, managed.bearer = managed, self
+        connection.generation = managed.generation
+        more = ""
+        if grace_ns:
+            token = registry.give_token(managed)
+            more = f" id='{token}' resume='true' max='{grace_ns // (1000 * MS)}'"
+        return f"<enabled xmlns='{xmpp.MANAGED}'{more}/>".encode()
+
+    def linked(self, connection: XmppConnection) -> None:
+        """Another connection has resumed the session; its ``resumed`` is written."""
+        old, self.on = self.on, connection
+        self.peer, self.prefixes, self._unasked = connection.link.peer, connection.stream.prefixes, 0
+        if old is not None:
+            old.replaced()
+        self.front.places.left(connection)
+        if self.exchange is not None:
+            self.front.places.back(self)
+        else:
+            self.front.places.rest(connection)
+        if self.held_size > MOST_HELD:
+            connection.link.hold(True)
+        self._tie()
+        self.pump()
+
+    def unlinked(self, connection: XmppConnection, reset: bool, lost: bool) -> None:
+        """Its connection is gone. One that was lost may come back, one that was closed has ended."""
+        if self.on is connection:
+            self.on = None
+        managed = self.managed
+        if managed is not None and lost and managed.grace_ns:
+            if self.front.registry.detach(managed, connection.generation, self.core.clock.now()) and (
+                self.exchange is not None
+            ):
+                self.front.places.away(self)
+            return
+        if managed is not None:
+            self.front.registry.end(managed)
+        self._forget(reset)
+
+    def replaced(self) -> None:
+        """The client has bound its address anew, and begins afresh."""
+        connection, self.on = self.on, None
+        if self.managed is not None:
+            self.front.registry.end(self.managed, Why.REPLACED)
+        if connection is not None:
+            connection.replaced()
+        self._forget(False)
+
+    def forsaken(self) -> None:
+        """Its grace is over."""
+        self._forget(False)
+
+    def evicted(self) -> None:
+        """The registry has ended it for want of room."""
+        self._forget(False)
+
+    def _forget(self, reset: bool) -> None:
+        if self.front.bound.get(self.bound) is self:
+            del self.front.bound[self.bound]
+        self._end_session(reset)
+        self.front.places.left(self)
+
+    def _tie(self) -> None:
+        """Each side's reading waits for what the other side has not taken yet."""
+        south = self.south.link if self.south is not None else None
+        if self.on is not None and south is not None and self.exchange is not None:
+            self.on.link.sink, south.sink = south, self.on.link
+
+    def acknowledged(self, count: int) -> None:
+        """The client has all stanzas up to a count. Raises ``AckError``."""
+        assert self.managed is not None
+        self.managed.acknowledge(count)
+        self.pump()
+
+    def send(self, data: bytes) -> None:
+        """A stanza for the client: now, or when it is back."""
+        if self.managed is not None:
+            self.managed.push("stanza", data)
+            self.pump()
+        elif self.on is not None:
+            self.on.link.write(data)
+
+    def pump(self) -> None:
+        """Writes what is due, and asks the client from time to time what it has."""
+        managed, connection = self.managed, self.on
+        if managed is None:
+            return
+        if connection is not None:
+            for entry in managed.due():
+                connection.link.write(entry.data)
+                self._unasked += 1
+            if self._unasked >= ASK_EVERY or (self._unasked and managed.outbox.held):
+                self._unasked = 0
+                connection.link.write(xmpp.MANAGEMENT_ASK)
+        self._regulate(managed)
+
+    def _regulate(self, managed: Session) -> None:
+        """A client that is away, or does not acknowledge, holds back its own transcriber."""
+        exchange, south = self.exchange, self.south
+        if exchange is None or south is None or south.link is None or not exchange.standing:
+            return
+        if managed.full and not exchange.held:
+            self.core.counters.add("edge_held_back")
+            south.link.hold(True)
+            self.core.hold(exchange, True)
+            if self.on is not None:
+                self.on.link.write(xmpp.MANAGEMENT_ASK)
+        elif exchange.held and managed.roomy:
+            south.link.hold(False)
+            self.core.hold(exchange, False)
+
+    # --- stanzas ------------------------------------------------------------------------------------
+
+    def stanza(self, stanza: xmpp.Stanza) -> None:
+        """A stanza of the client's. It counts as handled once this returns."""
         element = stanza.element
         to = element.attributes.get("to", "").partition("/")[0].lower()
+        managed = self.managed
         if to not in ("", self.front.config.server.domain.lower()):
             self._refuse_stanza(element, "cancel", "remote-server-not-found")
         elif element.name == "message":
@@ -162,8 +387,8 @@
         elif element.name == "iq":
             self._iq(stanza)
         # Presence means nothing here, and is passed over.
-
-    # --- stanzas ------------------------------------------------------------------------------------
+        if managed is not None:
+            managed.handled()
 
     def _refuse_stanza(self, element: xmpp.Element, kind: str, condition: str, extra: str = "") -> None:
         if element.attributes.get("type") not in ("error", "result"):
@@ -171,8 +396,8 @@
                         xmpp.stanza_error(kind, condition, extra))
 
     def _reply(self, name: str, number: str, kind: str, inner: bytes = b"") -> None:
-        self.link.write(xmpp.stanza(name, {
-            "type": kind, "id": number, "from": self.front.config.server.domain, "to": self.stream.bound,
+        self.send(xmpp.stanza(name, {
+            "type": kind, "id": number, "from": self.front.config.server.domain, "to": self.bound,
         }, inner))
 
     def _iq(self, stanza: xmpp.Stanza) -> None:
@@ -187,6 +412,8 @@
         match kind, child.namespace, child.name:
             case "get", xmpp.PING, "ping":
                 self._reply("iq", number, "result")
+            case "get", xmpp.DISCO, "query":
+                self._discover(element, child)
             case "set", namespace, "open" if namespace == SESSION:
                 self._open(element, child, stanza.raw)
             case "set", namespace, "close" if namespace == SESSION:
@@ -195,12 +422,25 @@
             case _:
                 self._refuse_stanza(element, "cancel", "service-unavailable")
 
+    def _discover(self, element: xmpp.Element, query: xmpp.Element) -> None:
+        """XEP-0030: what there is here, and no more."""
+        if query.attributes.get("node"):
+            self._refuse_stanza(element, "cancel", "item-not-found")
+            return
+        listed = "".join(f"<feature var='{name}'/>" for name in (xmpp.DISCO, xmpp.PING, SESSION))
+        identity = "<identity category='component' type='generic' name='puffinpost'/>"
+        inner = f"<query xmlns='{xmpp.DISCO}'>{identity}{listed}</query>"
+        self._reply("iq", element.attributes["id"], "result", inner.encode())
+
     def _open(self, element: xmpp.Element, child: xmpp.Element, raw: bytes) -> None:
         if self.exchange is not None:
-            self._refuse_stanza(element, "cancel", "conflict")
+            if not self.exchange.standing and element.attributes["id"] == self.iq:
+                self.core.counters.add("edge_joined")  # a retry of the very same IQ: one answer for both
+            else:
+                self._refuse_stanza(element, "cancel", "conflict")
             return
         try:
-            message = self.front.message(child, self.link.peer)
+            message = self.front.message(child, self.peer)
             if _OPEN.match(xmpp.inner_of(raw).strip()) is None:
                 raise BadRequest("something stands before open")
         except BadRequest as problem:
@@ -212,25 +452,31 @@
             self.core.turned_away(message.klass)
             self._refuse_stanza(element, "wait", "resource-constraint")
             return
+        if self.on is not None:
+            self.front.places.left(self.on)
         self.iq = element.attributes["id"]
-        self.asked = xmpp.readdress(xmpp.inner_of(raw).strip(), self.stream.prefixes, {})
+        self.asked = xmpp.readdress(xmpp.inner_of(raw).strip(), self._declared(), {})
         exchange = self.core.open(message, self)
         # The answer may have been given by now, and the stream may be gone with it.
         self.exchange = None if exchange.answered else exchange
 
+    def _declared(self) -> Mapping[str, str]:
+        """The prefixes that the stream which is read now declares."""
+        return self.on.stream.prefixes if self.on is not None else self.prefixes
+
     def _message(self, stanza: xmpp.Stanza) -> None:
         exchange = self.exchange
         if exchange is None:
             self._refuse_stanza(stanza.element, "wait", "recipient-unavailable")
             return
-        raw = xmpp.readdress(stanza.raw, self.stream.prefixes, {"to": self.front.config.client.domain})
+        raw = xmpp.readdress(stanza.raw, self._declared(), {"to": self.front.config.client.domain})
         if exchange.standing and self.south is not None:
             self.south.pass_on(raw)
             return
         self.held.append(raw)
         self.held_size += len(raw) + HELD_EXTRA
-        if self.held_size > MOST_HELD:
-            self.link.hold(True)
+        if self.held_size > MOST_HELD and self.on is not None:
+            self.on.link.hold(True)
 
     # --- what the core asks for (North) -------------------------------------------------------------
 
@@ -253,64 +499,81 @@
             self._answer(xmpp.stanza_error("cancel", "service-unavailable"))
 
     def move(self) -> None:
-        """Only whole stanzas are ever written north, so this falls between two."""
-        self.link.write(xmpp.stanza(
-            "message", {"from": self.front.config.server.domain, "to": self.stream.bound},
-            f"<move xmlns='{SESSION}'/>".encode(),
-        ))
+        """Only whole stanzas are ever written north, so this falls between two. A stream that is managed
+        stays: the client is told, now or on its return, and asks again on it.
+        """
+        self._tell("move")
         self.exchange = None
-        self.stream.close()
+        if self.managed is not None:
+            self._rest()
+        elif self.on is not None:
+            self.on.stream.close()
 
     # --- within -------------------------------------------------------------------------------------
 
+    def _tell(self, what: str) -> None:
+        self.send(xmpp.stanza(
+            "message", {"from": self.front.config.server.domain, "to": self.bound},
+            f"<{what} xmlns='{SESSION}'/>".encode(),
+        ))
+
+    def broke(self) -> None:
+        """An exception got out: what is asked has its answer."""
+        self._answer(xmpp.stanza_error("cancel", "internal-server-error"))
+
     def _answer(self, error: bytes) -> None:
         """The final answer, where the session does not stand; the stream stays for the next one."""
         if self.iq:
             number, self.iq = self.iq, ""
             self._reply("iq", number, "error", error)
-        self.exchange, self.held, self.held_size = None, [], 0
-        if not self.stream.over:
-            self.front.places.rest(self)
-        self.link.hold(False)
+        self.exchange = None
+        self._rest()
+
+    def _rest(self) -> None:
+        """No message is under way any more: the connection, if there is one, may stay."""
+        self.held, self.held_size = [], 0
+        self.front.places.left(self)
+        connection = self.on
+        if connection is not None and not connection.stream.over:
+            self.front.places.rest(connection)
+            connection.link.hold(False)
 
     def stands(self, receipt: bytes) -> None:
         """The transcriber took the session: its word goes north, what was held goes south."""
         assert self.south is not None and self.south.link is not None
         number, self.iq = self.iq, ""
         self._reply("iq", number, "result", receipt)
-        self.link.sink, self.south.link.sink = self.south.link, self.link
+        self._tie()
         held, self.held, self.held_size = self.held, [], 0
         for raw in held:
             self.south.pass_on(raw)
-        self.link.hold(False)
+        if self.on is not None:
+            self.on.link.hold(False)
 
-    def session_over(self, reset: bool) -> None:
-        """The transcriber ended a session that stood: this side ends the same way."""
+    def session_over(self, last: api.Result, reset: bool) -> None:
+        """The transcriber ended a session that stood. A stream that is not managed ends the same way."""
         self.exchange = None
-        if reset:
-            self.stream.over = True
-            self._leave(True)
-            self.link.close(True)
-        else:
-            self.stream.close()
+        connection = self.on
+        if self.managed is not None:
+            if last is api.Result.RESET:
+                self._tell("lost")
+            self._rest()
+        elif connection is not None and reset:
+            connection.stream.over = True
+            connection._leave(True, False)
+            connection.link.close(True)
+        elif connection is not None:
+            connection.stream.close()
 
     def _end_session(self, reset: bool) -> None:
         exchange, self.exchange, self.iq = self.exchange, None, ""
         self.held, self.held_size = [], 0
         if exchange is not None:
-            if not self.stream.over:
-                self.front.places.rest(self)
+            self._rest()
             if self.south is not None and reset and self.south.link is not None:
                 self.south.link.close(True)
             self.core.gone(exchange)
 
-    def _leave(self, reset: bool) -> None:
-        self.front.sessions.discard(self)
-        self.front.places.left(self)
-        if self.front.bound.get(self.stream.bound) is self:
-            del self.front.bound[self.stream.bound]
-        self._end_session(reset)
-
 
 class TranscriberStream:
     """One relay's stream to its transcriber, where the node is the client."""
@@ -405,6 +668,9 @@
         elif element.name == "message" and self.relay.exchange.standing:
             self._message(stanza)
 
+    def stream_managed(self, element: xmpp.Element) -> None:
+        """A transcriber's stream is not managed: the node never asks for it."""
+
     def stream_over(self, clean: bool) -> None:
         self._over(self._result(), False)
 
@@ -435,8 +701,8 @@
         else:
             echo = True
         if not self.relay.over:
-            self.session.link.write(xmpp.readdress(stanza.raw, self.stream.prefixes, {
-                "from": self.config.server.domain, "to": self.session.stream.bound,
+            self.session.send(xmpp.readdress(stanza.raw, self.stream.prefixes, {
+                "from": self.config.server.domain, "to": self.session.bound,
             }))
             self.core.line_south(self.relay, len(stanza.raw), echo)
 
@@ -445,7 +711,7 @@
             return
         self.drop()
         if self.relay.exchange.standing:
-            self.session.session_over(reset)
+            self.session.session_over(result, reset)
         self.core.ended(self.relay, result)
         if result in (api.Result.ERROR, api.Result.CONNECT_FAILED):
             log.say(f"relay to {self.core.inventory.name(self.relay.server)}: {result.name.lower()}")
--- a/puffinpost/log/__init__.py
+++ b/puffinpost/log/__init__.py
@@ -1,25 +1,31 @@
 """Lines for the people who run the node: to standard error, as text or as JSON, so many a second at most.
 
-Each line is one event of the structured log (structlog): a sentence, and fields where there are some. What
-clients can cause at will has a share of its own, so that it cannot crowd out what operators look for.
+Each line is an event: a sentence, and fields where there are some, that goes through a chain of processors
+in structlog's sense. ``json`` is structlog's to drive; plain text needs nothing of it, and a node that is not
+told otherwise does not load it, for a start competes with the process that it replaces. What clients can
+cause at will has a share of its own, so that it cannot crowd out what operators look for.
 """
 
 from __future__ import annotations
 
+import contextlib
 import sys
 import time
 import traceback
-from collections.abc import MutableMapping
+from collections.abc import Callable, MutableMapping
 from typing import Any
 
 import orjson
-import structlog
 
 MOST_PER_SECOND = 20
 MOST_OFTEN = 5  # of these, what clients can cause at will
 OFTEN = "often"  # the field that marks such a line; it is not printed
 
 
+class Dropped(Exception):
+    """A line is over its second's share."""
+
+
 class RateLimit:
     """A processor that drops what is over its second's share; what was dropped is told with the next line."""
 
@@ -39,7 +45,7 @@
                 event["dropped"] = dropped
         if self._said >= self.most or (often and self._often >= self.most_often):
             self._dropped += 1 + event.get("dropped", 0)
-            raise structlog.DropEvent
+            raise Dropped
         self._said += 1
         self._often += often
         return event
@@ -66,27 +72,35 @@
         print(line, file=sys.stderr, flush=True)
 
 
-class _Lines(structlog.BoundLoggerBase):
-    def say(self, text: str, **fields: Any) -> None:
-        self._proxy_to_logger("msg", text, **fields)
+def _plain() -> Callable[[dict[str, Any]], None]:
+    limit, out = RateLimit(), _Stderr()
+    return lambda event: out.msg(as_text(None, "msg", limit(None, "msg", event)))
 
 
-def configure(form: str = "text") -> None:
-    """Sets how lines look: ``text`` or ``json``. Begins a new count of the second's share."""
-    structlog.configure(
-        processors=[RateLimit(), as_json if form == "json" else as_text],
-        logger_factory=lambda *names: _Stderr(), wrapper_class=_Lines,
-        cache_logger_on_first_use=False,
-    )
+def _structured() -> Callable[[dict[str, Any]], None]:
+    import structlog
+
+    class Lines(structlog.BoundLoggerBase):
+        def say(self, event: str, **fields: Any) -> None:
+            self._proxy_to_logger("msg", event, **fields)
 
+    lines = structlog.wrap_logger(_Stderr(), processors=[RateLimit(), as_json], wrapper_class=Lines)
+    return lambda event: lines.say(**event)
 
-configure()
-_lines: _Lines = structlog.get_logger()
+
+_write = _plain()
+
+
+def configure(form: str = "text") -> None:
+    """Sets how lines look: ``text`` or ``json``. Begins a new count of the second's share."""
+    global _write
+    _write = _structured() if form == "json" else _plain()
 
 
 def say(text: str, often: bool = False, **fields: Any) -> None:
     """A line of the log, unless this second has had its share. ``often``: clients can cause it at will."""
-    _lines.say(text, **{OFTEN: often}, **fields)
+    with contextlib.suppress(Dropped):
+        _write({"event": text, OFTEN: often, **fields})
 
 
 def say_exception(where: str) -> None:
--- a/puffinpost/protocol/xmpp.py
+++ b/puffinpost/protocol/xmpp.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass, field
 from typing import TypeAlias
 from xml.parsers import expat
-from xml.sax.saxutils import escape as _escape
 
 CLIENT = "jabber:client"
 STREAM = "http://etherx.jabber.org/streams"
@@ -21,8 +20,9 @@
 TLS = "urn:ietf:params:xml:ns:xmpp-tls"
 BIND = "urn:ietf:params:xml:ns:xmpp-bind"
 PING = "urn:xmpp:ping"
+DISCO = "http://jabber.org/protocol/disco#info"
+MANAGED = "urn:xmpp:sm:3"
 
-LEAST_STANZA_LIMIT = 10_000  # RFC 6120, 13.12
 MOST_DEPTH = 64
 MISPLACED_DECLARATION = expat.errors.codes[expat.errors.XML_ERROR_MISPLACED_XML_PI]
 
@@ -30,9 +30,12 @@
 _TAG = re.compile(rb"""<[^\s/>]+(?:\s+[^\s=/>]+\s*=\s*(?:"[^"]*"|'[^']*'))*\s*/?>""")
 
 
+_ESCAPED = str.maketrans({"&": "&amp;", "<": "&lt;", ">": "&gt;", "'": "&apos;", '"': "&quot;"})
+
+
 def escape(text: str) -> str:
     """Text as it may stand in an element or between quotes of either kind."""
-    return _escape(text, {"'": "&apos;", '"': "&quot;"})
+    return text.translate(_ESCAPED)
 
 
 @dataclass(slots=True)
@@ -289,6 +292,35 @@
     return f"<error type='{kind}'><{condition} xmlns='{STANZA_ERRORS}'/>{extra}</error>".encode()
 
 
+MANAGEMENT_ASK = f"<r xmlns='{MANAGED}'/>".encode()
+
+
+def management_ack(count: int) -> bytes:
+    """What this end has handled (XEP-0198, 4)."""
+    return f"<a xmlns='{MANAGED}' h='{count}'/>".encode()
+
+
+def management_failed(condition: str, handled: int | None = None) -> bytes:
+    """A refusal to enable or to resume (XEP-0198, 3 and 5)."""
+    count = f" h='{handled}'" if handled is not None else ""
+    return f"<failed xmlns='{MANAGED}'{count}><{condition} xmlns='{STANZA_ERRORS}'/></failed>".encode()
+
+
+def handled_too_much(told: int, sent: int, text: str) -> bytes:
+    """The stream error for an acknowledgement that cannot be, and the end of the stream with it."""
+    return (
+        f"<stream:error><undefined-condition xmlns='{STREAM_ERRORS}'/>"
+        f"<handled-count-too-high xmlns='{MANAGED}' h='{told}' send-count='{sent}'/>"
+        f"<text xmlns='{STREAM_ERRORS}' xml:lang='en'>{escape(text)}</text></stream:error></stream:stream>"
+    ).encode()
+
+
+def count_of(element: Element) -> int | None:
+    """The ``h`` of an element of stream management; None where it is no number of 32 bits."""
+    raw = element.attributes.get("h", "")
+    return int(raw) if raw.isascii() and raw.isdigit() and len(raw) <= 10 and int(raw) < 1 << 32 else None
+
+
 def condition_of(element: Element) -> tuple[str, str]:
     """The type and the condition of a stanza that is an error."""
     error = element.child(CLIENT, "error")
--- a/puffinpost/protocol/xmpp_stream.py
+++ b/puffinpost/protocol/xmpp_stream.py
@@ -35,6 +35,9 @@
     def stream_stanza(self, stanza: xmpp.Stanza) -> None:
         """A stanza came, after ``stream_ready``."""
 
+    def stream_managed(self, element: xmpp.Element) -> None:
+        """An element of stream management (XEP-0198) came, at a moment when it may."""
+
     def stream_over(self, clean: bool) -> None:
         """The stream has ended; what there was to say about it is written."""
 
@@ -115,6 +118,7 @@
     tls: bool = False
     require_tls: bool = False
     limit: int = 65536
+    managed: bool = True  # whether stream management is offered
 
 
 class ServerStream(_Stream):
@@ -172,6 +176,8 @@
         offers_tls = self.options.tls and not self.secure
         if self.user:
             inner = f"<bind xmlns='{xmpp.BIND}'/>"
+            if self.options.managed:
+                inner += f"<sm xmlns='{xmpp.MANAGED}'/>"
         else:
             if offers_tls:
                 need = "<required/>" if self.options.require_tls else ""
@@ -189,6 +195,8 @@
         element = event.element
         if not self.user:
             self._negotiate(element)
+        elif element.namespace == xmpp.MANAGED and self.options.managed:
+            self._manage(element)
         elif element.namespace != xmpp.CLIENT or element.name not in ("iq", "message", "presence"):
             self.fail("unsupported-stanza-type", element.name)
         elif element.attributes.get("from", self.bound) not in (self.bound, self.bound.partition("/")[0]):
@@ -271,6 +279,27 @@
         if self._tries >= MOST_TRIES:
             self.fail("policy-violation", "too many attempts")
 
+    # --- stream management --------------------------------------------------------------------------
+
+    def _manage(self, element: xmpp.Element) -> None:
+        """XEP-0198, 3 and 5: what may come before a resource is bound, and what only after."""
+        if element.name not in ("enable", "resume", "r", "a"):
+            self.fail("unsupported-stanza-type", element.name)
+        elif (element.name == "resume") == bool(self.bound):
+            self.owner.stream_write(xmpp.management_failed("unexpected-request"))
+        else:
+            self.owner.stream_managed(element)
+
+    def fail_managed(self, told: int, sent: int, text: str) -> None:
+        """Ends the stream of a client that acknowledges what was never sent (XEP-0198, 4)."""
+        if not self.over:
+            self.owner.stream_write(xmpp.handled_too_much(told, sent, text))
+            self._end(False)
+
+    def resumed(self, bound: str) -> None:
+        """The stream goes on in place of an earlier one, whose address was this."""
+        self.bound = bound
+
     # --- binding ------------------------------------------------------------------------------------
 
     def _bind(self, element: xmpp.Element) -> None:
--- a/puffinpost/wiring/node.py
+++ b/puffinpost/wiring/node.py
@@ -13,16 +13,12 @@
 from puffinpost.bans import Bans
 from puffinpost.core import Core
 from puffinpost.counters import Counters
-from puffinpost.edge.registry import Registry
 from puffinpost.fronts.platform import PlatformFront
-from puffinpost.fronts.xmpp import XmppFront
 from puffinpost.interface import Result, ServerId
 from puffinpost.inventory import Inventory, InventoryError
-from puffinpost.wiring.keeper import Keeper
 from puffinpost.wiring.leaving import leave
 from puffinpost.net.console import Console
 from puffinpost.net.discovery import Watch
-from puffinpost.net.flows import FlowSink
 from puffinpost.net.link import Link, Receiver
 from puffinpost.net.listener import Listener, adopted, bound
 from puffinpost.net.places import Places
@@ -33,6 +29,8 @@
 
 if TYPE_CHECKING:
     from puffinpost.fronts.mqtt import MqttFront
+    from puffinpost.fronts.xmpp import XmppFront
+    from puffinpost.net.flows import FlowSink
 
 FRESH_S = 4.0  # a start is owed its yes within 6 s; a list that does not come in time is not waited for
 FRESH_STEP_S = 0.01
@@ -81,20 +79,12 @@
         call_later = asyncio.get_running_loop().call_later
         self.places = Places(told.for_clients, self.counters, call_later)
         self.front = PlatformFront(self.core, dialler, self.places)
-        self.xmpp = XmppFront(self.core, told.xmpp, dialler, self.places) if told.xmpp else None
-        self.registry = Registry(told.resume, self.counters.add)
-        self.keeper = Keeper(self.registry, self.core.clock)
+        self.xmpp: XmppFront | None = None
         self.mqtt: MqttFront | None = None
-        if told.mqtt is not None:
-            # Loaded only where it is on.
-            from puffinpost.fronts.mqtt import MqttFront
-
-            self.mqtt = MqttFront(self.core, told.mqtt, dialler, self.places, self.registry)
+        self.flows: FlowSink | None = None
+        self._add_parts(told, dialler)
         self.bans = Bans(told.folder, told.name)
         self.console = Console(Operations(self.core, self.bans, self._unready).answer, call_later)
-        self.flows = FlowSink(told.flows, self.core) if told.flows else None
-        if self.flows is not None:
-            self.core.on_end.append(self.flows.ended)
         self.succession = Succession(
             told.folder, told.name, self.core, self.front, self.places, self, told.sockets - told.for_clients,
         )
@@ -102,6 +92,28 @@
         self.stop = asyncio.Event()
         self.listening = False
 
+    def _add_parts(self, told: config.Config, dialler: Dialler) -> None:
+        """What an operator's file has turned on. Each is loaded only then: a plain start stays quick."""
+        if told.xmpp is not None or told.mqtt is not None:
+            from puffinpost.edge.registry import Registry
+            from puffinpost.wiring.keeper import Keeper
+
+            registry = Registry(told.resume, self.counters.add)
+            Keeper(registry, self.core.clock)
+        if told.xmpp is not None:
+            from puffinpost.fronts.xmpp import XmppFront
+
+            self.xmpp = XmppFront(self.core, told.xmpp, dialler, self.places, registry)
+        if told.mqtt is not None:
+            from puffinpost.fronts.mqtt import MqttFront
+
+            self.mqtt = MqttFront(self.core, told.mqtt, dialler, self.places, registry)
+        if told.flows is not None:
+            from puffinpost.net.flows import FlowSink
+
+            self.flows = FlowSink(told.flows, self.core)
+            self.core.on_end.append(self.flows.ended)
+
     # --- what the core asks for (Ports) -------------------------------------------------------------
 
     def probe(self, server: ServerId) -> None:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -259,6 +259,13 @@
         said = self.log.read_text().rsplit("counts: ", 1)[1].split("\n")[0]
         return {name: int(count) for name, count in (item.split("=") for item in said.split())}
 
+    def wait_counts(self, name: str, least: int) -> None:
+        """Waits until something has been counted so often."""
+        until = time.monotonic() + WAIT_S
+        while (now := self.counts()).get(name, 0) < least:
+            assert time.monotonic() < until, now
+            time.sleep(0.01)
+
     def reload(self, text: str | None = None, **changes: Any) -> None:
         """Replaces the configuration file, or some keys of it, and has it read again."""
         path = self.folder / "config.json"
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -54,7 +54,8 @@
 
 
 def test_a_plain_start_loads_no_command_line() -> None:
-    code = "import sys, puffinpost.wiring.node; print([m for m in ('click', 'paho') if m in sys.modules])"
+    names = ("click", "structlog", "pyexpat", "puffinpost.edge.registry")
+    code = f"import sys, puffinpost.wiring.node; print([m for m in {names} if m in sys.modules])"
     made = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=30)
     assert made.stdout.strip() == "[]"
 
--- /dev/null
+++ b/tests/test_edge.py
@@ -0,0 +1,210 @@
+"""The resumable session and its registry, without a front."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from puffinpost.edge.limits import Limits
+from puffinpost.edge.numbers import MODULUS
+from puffinpost.edge.outbox import FIRST_WINDOW, AckError, Outbox
+from puffinpost.edge.registry import MOST_ENDED, FullError, Refusal, Registry, ResumeError
+from puffinpost.edge.session import Session, State, Why
+
+S = 1_000_000_000
+
+
+def box_of(count: int, first: int = 0) -> Outbox:
+    box = Outbox(first)
+    for number in range(count):
+        box.push("down", b"%d" % number)
+    return box
+
+
+@pytest.mark.parametrize("first", [0, MODULUS - 3])
+def test_counts_wrap_and_wrong_ones_change_nothing(first: int) -> None:
+    box = box_of(6, first)
+    assert [entry.data for entry in box.due(5)] == [b"0", b"1", b"2", b"3", b"4"]
+    assert len(box.acknowledge((first + 4) % MODULUS)) == 4
+    assert box.acknowledge((first + 4) % MODULUS) == []
+    for wrong in (first + 3, first + 6, first - 1, first + MODULUS // 2):  # backwards, or of what never went
+        with pytest.raises(AckError):
+            box.acknowledge(wrong % MODULUS)
+    assert len(box) == 2 and len(box.acknowledge((first + 5) % MODULUS)) == 1
+
+
+def test_what_is_not_acknowledged_is_written_again_in_order_before_what_is_new() -> None:
+    box = box_of(4)
+    box.due(3)
+    box.acknowledge(1)
+    box.rewind()
+    box.push("down", b"new")
+    written = [(entry.data, entry.sends) for entry in box.due()]
+    assert written == [(b"1", 2), (b"2", 2), (b"3", 1), (b"new", 1)]
+    assert not box.replaying and len(box.acknowledge(5)) == 4 and box.octets == 0
+
+
+def test_a_link_that_flaps_is_not_given_everything_at_each_return() -> None:
+    box = box_of(200)
+    box.due()
+    for _ in range(20):
+        box.rewind()
+        assert len(box.due()) == FIRST_WINDOW and box.held
+    written = FIRST_WINDOW
+    for acknowledged in range(1, 201):
+        box.acknowledge(acknowledged)
+        written += len(box.due())
+    assert written == 200 and len(box) == 0
+
+
+def test_releases_out_of_order_leave_a_true_count() -> None:
+    box = box_of(3)
+    box.due()
+    assert box.release(2) is not None and box.release(2) is None and box.acknowledged == 0
+    box.release(1)
+    assert box.acknowledged == 2 and [entry.number for entry in box.acknowledge(3)] == [3]
+
+
+def test_a_session_leads_only_where_its_table_says() -> None:
+    session = Session(1, "ada", "", Limits(), S)
+    for _ in range(40):
+        session.push("down", b"x")
+    session.due()
+    first = session.generation
+    assert session.detach(first, 5) and session.state is State.DETACHED and session.expires_ns == 5 + S
+    assert session.due() == [] and not session.detach(first, 6)
+    second = session.attach()
+    assert session.linked and not session.detach(first, 7), "an old link has no say"
+    assert session.detach(second, 8) and session.attach() and session.end(Why.DONE) == 40
+    assert session.push("down", b"y") is None and session.due() == []
+    with pytest.raises(AssertionError):
+        session.attach()
+
+
+class Tokens:
+    """A registry whose chance is counted."""
+
+    def __init__(self, **limits: int) -> None:
+        counts = itertools.count()
+        self.counted: list[str] = []
+        self.registry = Registry(Limits(**limits), self.counted.append,
+                                 lambda size: next(counts).to_bytes(size, "big"))
+
+    def refused(self, token: str, user: str, address: str = "a", now: int = 0) -> ResumeError:
+        with pytest.raises(ResumeError) as problem:
+            self.registry.find(token, user, address, now)
+        return problem.value
+
+
+def test_a_token_serves_its_user_alone_and_tells_others_nothing() -> None:
+    made = Tokens()
+    session = made.registry.begin("ada")
+    token = made.registry.give_token(session)
+    assert len(token) == 48 and made.registry.find(token, "ada", "a", 0) is session
+    session.handled(7)
+    tries = [made.refused(token, "eve"), made.refused("0" * 47 + "9", "ada"), made.refused("é" * 9999, "ada")]
+    assert [(each.why, each.handled) for each in tries] == [
+        (Refusal.FOREIGN, None), (Refusal.UNKNOWN, None), (Refusal.UNKNOWN, None)]
+    made.registry.end(session)
+    gone, foreign = made.refused(token, "ada"), made.refused(token, "eve")
+    assert (gone.why, gone.handled, foreign.handled) == (Refusal.ENDED, 7, None)
+    other = made.registry.begin("ada")
+    old, new = made.registry.give_token(other), made.registry.give_token(other)
+    assert made.refused(old, "ada").why is Refusal.UNKNOWN and made.registry.find(new, "ada", "a", 0)
+
+
+def test_guessing_is_limited_by_address_and_in_memory() -> None:
+    made = Tokens(refusals_per_minute=3)
+    token = made.registry.give_token(made.registry.begin("ada"))
+    whys = [made.refused("x", "eve", "bad", 0).why for _ in range(5)]
+    assert whys == [Refusal.UNKNOWN] * 3 + [Refusal.THROTTLED] * 2
+    assert made.refused(token, "ada", "bad", 0).why is Refusal.THROTTLED
+    assert made.registry.find(token, "ada", "good", 0)
+    assert made.registry.find(token, "ada", "bad", 20 * S), "the allowance comes back over a minute"
+    for number in range(10_000):
+        made.refused("x", "eve", str(number), S)
+    assert len(made.registry._guesses._left) <= 4096
+
+
+def test_two_thousand_devices_that_never_come_back_are_let_go_in_time() -> None:
+    made = Tokens(sessions=2000, sessions_per_user=2000, grace_ns=30 * S)
+    registry = made.registry
+    for number in range(2000):
+        session = registry.begin("ada", f"phone-{number}")
+        session.push("answer", b"UP 1")
+        registry.detach(session, session.generation, number)
+    assert registry.away == 2000 and registry.expire(30 * S - 1) == []
+    assert len(registry.expire(30 * S + 999)) == 1000 and registry.away == 1000
+    assert len(registry.expire(31 * S)) == 1000 and registry.octets == 0 and not registry.sessions
+    for _ in range(MOST_ENDED + 10):
+        ended = registry.begin("ada")
+        registry.give_token(ended)
+        registry.end(ended)
+    assert len(registry._ended) == MOST_ENDED
+
+
+def test_a_flapping_link_costs_one_timer() -> None:
+    registry = Tokens(grace_ns=30 * S).registry
+    session = registry.begin("ada")
+    for turn in range(600):
+        registry.detach(session, session.generation, turn * S // 20)
+        registry.attach(session)
+    assert len(registry._due) == 1
+    registry.detach(session, session.generation, 30 * S)
+    assert registry.expire(31 * S) == [] and registry.expire(60 * S) == [session]
+    session = registry.begin("ada")
+    registry.detach(session, session.generation, 60 * S)
+    registry.attach(session)
+    session.grace_ns = S  # the device wants less
+    registry.detach(session, session.generation, 61 * S)
+    assert registry.expire(62 * S) == [session]
+
+
+class Bearer:
+    def __init__(self) -> None:
+        self.told = 0
+
+    def evicted(self) -> None:
+        self.told += 1
+
+
+def test_room_is_made_by_whoever_is_away_for_longest() -> None:
+    made = Tokens(sessions=3, octets_in_all=65_536)
+    registry = made.registry
+    one, two, three = (registry.begin("ada", name) for name in "abc")
+    for each in (one, two, three):
+        each.bearer = Bearer()
+    with pytest.raises(FullError):
+        registry.begin("ada")
+    for now, each in enumerate((two, one)):
+        registry.detach(each, each.generation, now)
+    assert registry.begin("ada") and two.state is State.ENDED and two.bearer.told == 1
+    three.push("down", b"x" * 60_000)
+    one.push("down", b"x" * 6_000)
+    assert one.state is State.ENDED and one.why is Why.EVICTED and registry.octets < 65_536
+    three.push("down", b"x" * 60_000)
+    assert three.state is State.ATTACHED, "one that has its link is held back by its own bound"
+    assert registry.named("c", "ada") is three and registry.named("c", "eve") is None
+    with pytest.raises(ValueError, match="session"):
+        registry.begin("ada", "c")
+
+
+def test_a_user_has_a_share() -> None:
+    made = Tokens(sessions_per_user=2)
+    first, _second = made.registry.begin("ada"), made.registry.begin("ada")
+    with pytest.raises(FullError):
+        made.registry.begin("ada")
+    assert made.registry.begin("bob")
+    made.registry.end(first)
+    assert made.registry.begin("ada")
+
+
+def test_what_is_owed_goes_over_to_another_process() -> None:
+    box = box_of(3, MODULUS - 1)
+    box.due(2)
+    other = Outbox.unpack(box.pack())
+    assert [(entry.data, entry.sends) for entry in other.due()] == [(b"0", 2), (b"1", 2), (b"2", 1)]
+    assert other.octets == box.octets and len(other.acknowledge(2)) == 3
+    with pytest.raises((KeyError, TypeError, ValueError)):
+        Outbox.unpack({"acknowledged": 1, "last": 2, "entries": [["x"]]})
--- /dev/null
+++ b/tests/test_mqtt.py
@@ -0,0 +1,437 @@
+"""MQTT spoken to the real program: over poor links, in hard cases, and by a client of others' making."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import ssl
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import paho.mqtt.client as paho
+import pytest
+from conftest import World
+from mqtt_standins import Device
+from paho.mqtt.enums import CallbackAPIVersion
+from paho.mqtt.packettypes import PacketTypes
+from paho.mqtt.properties import Properties
+from standins import ROOT, WAIT_S, Node, Peer, free_port
+from test_node import first_of
+from xmpp_standins import CERTIFICATE, KEY
+
+from puffinpost.protocol import mqtt
+from puffinpost.protocol.mqtt import Reason
+
+OPEN = b"OPEN %016x 7f3a9c21e0b4d655 c=live-text,d=2500"
+
+
+class Link:
+    """``puffinpost link``, told what to do by a test."""
+
+    def __init__(self, to: int, *more: str) -> None:
+        self.port = free_port()
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "puffinpost", "link", "--listen", f"127.0.0.1:{self.port}",
+             "--to", f"127.0.0.1:{to}", *more],
+            cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+        self.wait("listening")
+
+    def wait(self, word: str) -> None:
+        assert self.process.stdout is not None
+        while not self.process.stdout.readline().startswith(word):
+            assert self.process.poll() is None
+
+    def tell(self, command: str, answer: str) -> None:
+        assert self.process.stdin is not None
+        self.process.stdin.write(command + "\n")
+        self.process.stdin.flush()
+        self.wait(answer)
+
+
+class Phone(Device):
+    """A device on a socket."""
+
+    peer: Peer
+
+    def dial(self, port: int, context: ssl.SSLContext | None = None, **more: Any) -> Phone:
+        """Connects, or comes back, and waits for CONNACK."""
+        connection = socket.create_connection(("127.0.0.1", port))
+        self.peer = Peer(connection if context is None else
+                         context.wrap_socket(connection, server_hostname="edge.test"))
+        self.peer.send(self.connect(**more))
+        self.until(lambda: self.connack is not None)
+        return self
+
+    def until(self, true: Callable[[], bool]) -> None:
+        """Reads and answers until something holds."""
+        self.flush()
+        while not true():
+            data = self.peer.socket.recv(65536)
+            if not data:
+                raise EOFError(self.codes)
+            self.feed(data)
+            self.flush()
+
+    def flush(self) -> None:
+        self.peer.send(self.take())
+
+    def topics(self, topic: str) -> list[bytes]:
+        return [payload for found, payload, _ in self.got if found == topic]
+
+    def opened(self, world: World, number: int = 1) -> Peer:
+        """Opens a session and lets it come up."""
+        self.subscribe()
+        self.publish("open", OPEN % number, correlation_data=b"c")
+        self.flush()
+        relay = first_of(world.servers)[1]
+        assert relay.line().startswith(b"OPEN ")
+        relay.send(b"UP 7\r\n")
+        self.until(lambda: bool(self.topics("answer")))
+        assert self.topics("answer") == [b"UP 7"]
+        return relay
+
+    def synced(self) -> None:
+        """Waits until the node has taken all that was sent, and said all that it had to."""
+        self.send(mqtt.Unsubscribe(2, ("puffinpost/none",)))
+        self.granted = (-1,)
+        self.until(lambda: self.granted != (-1,))
+
+
+class MqttWorld:
+    """A world whose node has the MQTT front on."""
+
+    def __init__(self, world: World, more: str = "", resume: str = "", **kinds: Any) -> None:
+        self.port = free_port()
+        (world.folder / "users.toml").write_text('ada = "lovelace"\neve = "x"\n')
+        users = f'users = "{world.folder / "users.toml"}"'
+        edge = f'[mqtt]\nlisten = "127.0.0.1:{self.port}"\n{users}\n{more}\n[resume]\n{resume}\n'
+        self.node: Node = world.start(edge=edge, **kinds)
+
+    def phone(self, name: str = "phone", qos: int = 2, version: int = mqtt.V5, **more: Any) -> Phone:
+        return Phone(name, version, qos).dial(
+            more.pop("port", self.port), username="ada", password=b"lovelace", **more)
+
+
+@pytest.fixture
+def links() -> Iterator[Callable[..., Link]]:
+    made: list[Link] = []
+
+    def make(to: int, *more: str) -> Link:
+        made.append(Link(to, *more))
+        return made[-1]
+
+    yield make
+    for each in made:
+        each.process.kill()
+        each.process.wait()
+
+
+def asked(world: World) -> bool:
+    return any(server.asked() for server in world.servers)
+
+
+@pytest.mark.parametrize("qos", [1, 2])
+def test_a_link_that_drops_in_mid_message_and_comes_back(
+    world: World, links: Callable[..., Link], qos: int
+) -> None:
+    """The half message is not passed on, the whole one once; what came meanwhile arrives once, in order."""
+    front = MqttWorld(world)
+    link = links(front.port, "--delay-ms", "20", "--jitter-ms", "10", "--seed", "3")
+    phone = front.phone(qos=qos, port=link.port)
+    relay = phone.opened(world)
+    phone.publish("up", b"first")
+    phone.publish("up", b"second, " + b"x" * 2000)
+    data = phone.take()
+    phone.peer.send(data[:-700])  # the whole of the first, and half of the second
+    assert relay.line() == b"first\r\n"
+    link.tell("cut", "cut")
+    for number in range(40):
+        relay.send(b"meanwhile %d\r\n" % number)
+    phone.dial(link.port, username="ada", password=b"lovelace")
+    assert phone.connack is not None and phone.connack.present
+    assert relay.line() == b"second, " + b"x" * 2000 + b"\r\n"
+    phone.until(lambda: len(phone.topics("down")) == 40)
+    phone.publish("up", b"third")
+    phone.synced()
+    assert relay.line() == b"third\r\n" and not asked(world)
+    assert phone.topics("down") == [b"meanwhile %d" % number for number in range(40)]
+    counts = front.node.counts()
+    assert counts["relays"] == 1 and counts["edge_resumed"] + counts.get("edge_taken_over", 0) == 1
+
+
+@pytest.mark.parametrize("how", ["same link", "new link", "half dead"])
+def test_a_retry_joins_the_attempt_that_is_out(world: World, links: Callable[..., Link], how: str) -> None:
+    front = MqttWorld(world)
+    link = links(front.port)
+    phone = front.phone(port=link.port)
+    phone.subscribe()
+    phone.publish("open", OPEN % 1, correlation_data=b"c")
+    phone.flush()
+    relay = first_of(world.servers)[1]
+    assert relay.line().startswith(b"OPEN ")
+    if how != "same link":
+        link.tell(*(("cut", "cut") if how == "new link" else ("freeze", "frozen")))
+        phone.dial(link.port, username="ada", password=b"lovelace")
+    phone.publish("open", OPEN % 1, correlation_data=b"c")
+    phone.synced()
+    assert not asked(world)
+    relay.send(b"UP 7\r\n")
+    phone.until(lambda: bool(phone.topics("answer")))
+    phone.synced()
+    assert phone.topics("answer") == [b"UP 7"]
+    counts = front.node.counts()
+    assert counts["relays"] == counts["messages"] == counts["edge_joined"] == 1
+
+
+@pytest.mark.parametrize("word", [b"UP 7\r\n", b"ERR\r\n"])
+def test_an_answer_given_while_the_device_was_away_is_kept_and_given_once(world: World, word: bytes) -> None:
+    front = MqttWorld(world)
+    phone = front.phone()
+    phone.subscribe()
+    phone.publish("open", (OPEN % 1).replace(b"live-text", b"once"), correlation_data=b"mine")
+    phone.flush()
+    relay = first_of(world.servers)[1]
+    assert relay.line().startswith(b"OPEN ")
+    phone.peer.close("reset")
+    front.node.wait_counts("edge_detached", 1)
+    relay.send(word)
+    front.node.wait_counts("up" if word[:2] == b"UP" else "failed", 1)
+    for _ in range(3):
+        phone.dial(front.port, username="ada", password=b"lovelace")
+        phone.until(lambda: bool(phone.got))
+        phone.synced()
+        phone.peer.close("reset")
+    assert phone.got == [("answer", word.rstrip(), {"correlation_data": b"mine"})]
+
+
+@pytest.mark.parametrize("why", ["drain", "ban", "bye"])
+def test_a_device_that_was_away_is_told_of_its_move_on_return(world: World, why: str) -> None:
+    front = MqttWorld(world)
+    phone = front.phone()
+    relay = phone.opened(world)
+    phone.peer.close("reset")
+    front.node.wait_counts("edge_detached", 1)
+    name = next(f"s-{number}" for number, server in enumerate(world.servers)
+                if server.port == relay.socket.getsockname()[1])
+    if why == "drain":
+        world.discovery.tell(name, world.servers[int(name[2:])].address, "draining")
+    elif why == "ban":
+        assert front.node.call("POST", f"/transcribers/disable/{name}")[0] == 200
+    else:
+        relay.send(b"BYE\r\n")
+        relay.close()
+    if why != "bye":
+        assert relay.ending() == "end"  # the transcriber is freed before the device is back
+    phone.dial(front.port, username="ada", password=b"lovelace")
+    topic = "bye" if why == "bye" else "move"
+    phone.until(lambda: bool(phone.topics(topic)))
+    phone.got.clear()
+    phone.opened(world, 2)
+
+
+def test_nothing_is_held_past_its_grace(world: World) -> None:
+    front = MqttWorld(world, resume="grace_s = 1")
+    phone = front.phone()
+    assert phone.connack is not None and phone.connack.properties["session_expiry"] == 1
+    relay = phone.opened(world)
+    phone.peer.close("reset")
+    began = time.monotonic()
+    assert relay.ending() == "end" and 0.9 < time.monotonic() - began < 2.5
+    phone.dial(front.port, username="ada", password=b"lovelace")
+    assert phone.connack is not None and not phone.connack.present
+
+
+def test_two_links_claim_one_session_and_the_newer_wins(world: World) -> None:
+    front = MqttWorld(world)
+    old = front.phone()
+    relay = old.opened(world)
+    new = front.phone()
+    with pytest.raises(EOFError):
+        old.until(lambda: False)
+    assert old.codes[-1] == Reason.TAKEN_OVER
+    new.publish("up", b"from the newer")
+    new.flush()
+    assert relay.line() == b"from the newer\r\n"
+    stranger = Phone("phone").dial(front.port, username="eve", password=b"x")
+    assert stranger.connack is not None and not stranger.connack.present  # the name is another's
+    fresh = front.phone(clean=True)
+    assert fresh.connack is not None and not fresh.connack.present and relay.ending() == "end"
+
+
+def test_what_cannot_be_a_line_is_refused_and_nothing_is_lost(world: World) -> None:
+    front = MqttWorld(world)
+    phone = front.phone(qos=1)
+    relay = phone.opened(world)
+    for payload in (b"before", b"a\rb", b"a\nb", b"x" * 4095, b"x" * 4094, b"after"):
+        phone.publish("up", payload)
+    phone.synced()
+    assert phone.codes[-6:] == [0, 0x99, 0x99, 0x99, 0, 0]
+    assert [relay.line() for _ in range(3)] == [b"before\r\n", b"x" * 4094 + b"\r\n", b"after\r\n"]
+    for topic, code in (("elsewhere", Reason.TOPIC_INVALID), ("answer", Reason.TOPIC_INVALID)):
+        phone.publish(topic, b"x")
+        phone.synced()
+        assert phone.codes[-1] == code
+    phone.publish("open", OPEN % 9)
+    phone.synced()
+    assert phone.codes[-1] == Reason.QUOTA
+
+
+@pytest.mark.parametrize("version", [mqtt.V5, mqtt.V311])
+def test_other_subscriptions_have_their_code(world: World, version: int) -> None:
+    phone = MqttWorld(world).phone(version=version)
+    phone.subscribe("puffinpost/down", "#", "other/x", "$share/g/puffinpost/down", "puffinpost/+")
+    phone.until(lambda: bool(phone.granted))
+    known = version == mqtt.V5
+    assert phone.granted == (2, 0x8F if known else 0x80, 0x8F if known else 0x80, 0x9E if known else 0x80, 2)
+
+
+@pytest.mark.parametrize(("more", "code"), [
+    ({"password": b"wrong"}, Reason.BAD_LOGIN), ({"username": "nobody"}, Reason.BAD_LOGIN),
+    ({"username": None, "password": None}, Reason.NOT_AUTHORIZED),
+    ({"properties": {"authentication_method": "SCRAM"}}, Reason.BAD_AUTH_METHOD),
+    ({"properties": {"maximum_packet_size": 100}}, Reason.IMPLEMENTATION),
+])
+def test_who_may_not_connect_is_told_why(world: World, more: dict[str, Any], code: Reason) -> None:
+    front = MqttWorld(world)
+    phone = Phone("phone").dial(front.port, **{"username": "ada", "password": b"lovelace", **more})
+    assert phone.connack is not None and phone.connack.code == code and phone.peer.ending() == "end"
+
+
+def test_names_that_can_be_guessed_are_not_resumed_by_who_names_nobody(world: World) -> None:
+    front = MqttWorld(world, "anonymous = true")
+    weak = Phone("phone").dial(front.port)
+    assert weak.connack is not None and weak.connack.properties["session_expiry"] == 0
+    relay = weak.opened(world)
+    other = Phone("phone").dial(front.port)
+    assert other.connack is not None and not other.connack.present
+    weak.publish("up", b"still here")
+    weak.flush()
+    assert relay.line() == b"still here\r\n"
+    sure = Phone("").dial(front.port)
+    assert sure.connack is not None
+    sure.client_id = sure.connack.properties["assigned_client_id"]
+    sure.peer.close()
+    sure.dial(front.port)
+    assert sure.connack is not None and sure.connack.present
+
+
+def test_a_certificate_is_a_name(world: World) -> None:
+    front = MqttWorld(world, f'certificate = "{CERTIFICATE}"\nkey = "{KEY}"\nca = "{CERTIFICATE}"')
+    context = ssl.create_default_context(cafile=str(CERTIFICATE))
+    bare = Phone("phone").dial(front.port, context)
+    assert bare.connack is not None and bare.connack.code == Reason.NOT_AUTHORIZED
+    context.load_cert_chain(CERTIFICATE, KEY)
+    phone = Phone("phone").dial(front.port, context)
+    relay = phone.opened(world)
+    phone.publish("up", b"over TLS")
+    phone.flush()
+    assert relay.line() == b"over TLS\r\n"
+    phone.peer.close("reset")
+    phone.dial(front.port, context)
+    assert phone.connack is not None and phone.connack.present
+
+
+def test_a_client_that_falls_silent_is_found_by_its_keep_alive(world: World) -> None:
+    front = MqttWorld(world, "keep_alive_s = 5")
+    phone = front.phone(keep_alive=1)
+    assert phone.connack is not None and "server_keep_alive" not in phone.connack.properties
+    relay = phone.opened(world)
+    with pytest.raises(EOFError):
+        phone.until(lambda: False)
+    assert phone.codes[-1] == Reason.KEEP_ALIVE
+    phone.dial(front.port, username="ada", password=b"lovelace")
+    assert phone.connack.properties["server_keep_alive"] == 5
+    phone.publish("up", b"back")
+    phone.flush()
+    assert relay.line() == b"back\r\n"
+
+
+def test_a_device_that_does_not_acknowledge_holds_back_its_own_transcriber_only(world: World) -> None:
+    front = MqttWorld(world, resume="lines = 32")
+    phone, other = front.phone(), front.phone("other")
+    relay = phone.opened(world)
+    relay.socket.settimeout(0.5)
+    sent = 0
+    with pytest.raises(TimeoutError):
+        while sent < 50_000_000:  # far more than the kernel and a bounded buffer take together
+            relay.send(b"y" * 4000 + b"\r\n")
+            sent += 4002
+    assert sent < 50_000_000
+    relay.socket.settimeout(WAIT_S)
+    second = other.opened(world, 2)
+    second.send(b"for the other\r\n")
+    other.until(lambda: other.topics("down") == [b"for the other"])
+    phone.until(lambda: len(phone.topics("down")) > 200)
+    assert set(phone.topics("down")) == {b"y" * 4000}
+    assert front.node.counts()["edge_held_back"] >= 1
+
+
+def test_sigterm_tells_those_that_are_there(world: World) -> None:
+    front = MqttWorld(world)
+    phone = front.phone()
+    relay = phone.opened(world)
+    front.node.process.terminate()
+    with pytest.raises(EOFError):
+        phone.until(lambda: False)
+    assert phone.topics("move") == [b"MOVE"] and phone.codes[-1] == Reason.SHUTTING_DOWN
+    assert relay.ending() == "end" and front.node.process.wait(WAIT_S) == 0
+
+
+@pytest.mark.parametrize("protocol", [paho.MQTTv5, paho.MQTTv311])
+def test_a_client_of_others_making_keeps_its_session_over_a_poor_link(
+    world: World, links: Callable[..., Link], protocol: Any
+) -> None:
+    """paho-mqtt, with every reconnect its own doing, through a link that is cut again and again."""
+    front = MqttWorld(world)
+    link = links(front.port, "--delay-ms", "5")
+    known = protocol == paho.MQTTv5
+    client = paho.Client(CallbackAPIVersion.VERSION2, "handset", None if known else False, protocol=protocol)
+    got: list[bytes] = []
+    ready, answered, arrived = threading.Event(), threading.Event(), threading.Condition()
+
+    def heard(client: Any, data: Any, message: Any) -> None:
+        if message.topic == "puffinpost/answer":
+            answered.set()
+        else:
+            with arrived:
+                got.append(message.payload)
+                arrived.notify_all()
+
+    client.username_pw_set("ada", "lovelace")
+    client.reconnect_delay_set(1, 1)
+    client.on_message = heard
+    client.on_connect = lambda client, data, flags, code, more: client.subscribe("puffinpost/#", 2)
+    client.on_subscribe = lambda *told: ready.set()
+    properties = None
+    if known:
+        properties = Properties(PacketTypes.CONNECT)  # type: ignore[no-untyped-call]
+        properties.SessionExpiryInterval = 30
+    start = False if known else paho.MQTT_CLEAN_START_FIRST_ONLY
+    client.connect("127.0.0.1", link.port, clean_start=start, properties=properties)
+    client.loop_start()
+    try:
+        assert ready.wait(WAIT_S)
+        client.publish("puffinpost/open", OPEN % 1, qos=2)
+        relay = first_of(world.servers)[1]
+        assert relay.line().startswith(b"OPEN ")
+        relay.send(b"UP 7\r\n")
+        assert answered.wait(WAIT_S)
+        for turn in range(3):
+            for number in range(10):
+                client.publish("puffinpost/up", b"up %d" % (10 * turn + number), qos=2)
+                relay.send(b"down %d\r\n" % (10 * turn + number))
+            link.tell("cut", "cut")
+        assert [relay.line() for _ in range(30)] == [b"up %d\r\n" % number for number in range(30)]
+        with arrived:
+            assert arrived.wait_for(lambda: len(got) >= 30, WAIT_S)
+        assert got == [b"down %d" % number for number in range(30)] and not asked(world)
+        assert front.node.counts()["relays"] == 1
+    finally:
+        client.disconnect()
+        client.loop_stop()
+        with contextlib.suppress(OSError):
+            relay.close()
--- /dev/null
+++ b/tests/test_xmpp_managed.py
@@ -0,0 +1,256 @@
+"""Stream management (XEP-0198) on the XMPP front, spoken to the real program."""
+
+from __future__ import annotations
+
+import re
+import select
+
+import pytest
+from conftest import World
+from standins import Peer
+from test_node import first_of
+from xmpp_standins import BIND, FEATURES, HEADER, SASL, UP, XmppWorld, answer, opening, plain, transcriber
+
+SM = b"xmlns='urn:xmpp:sm:3'"
+
+
+class Managed:
+    """A client that keeps what XEP-0198 wants kept: its own stanzas, and a count of those that came."""
+
+    def __init__(self, xmpp: XmppWorld, resource: bytes = b"phone", user: str = "ada") -> None:
+        self.xmpp, self.user = xmpp, user
+        self.handled = 0
+        self.stanzas: list[bytes] = []
+        self.sent: list[bytes] = []  # not acknowledged
+        self.total = 0  # acknowledged
+        self.peer = self.authenticated()
+        self.peer.send(BIND % (b"<resource>" + resource + b"</resource>"))
+        self.peer.until(b"</iq>")
+        self.peer.send(b"<enable " + SM + b" resume='true' max='60'/>")
+        found = re.search(rb"<enabled [^>]*id='([0-9a-f]{48})'[^>]*max='(\d+)'/>", self.peer.until(b"/>"))
+        assert found is not None
+        self.token, self.max = found.group(1), int(found.group(2))
+
+    def authenticated(self) -> Peer:
+        peer = self.xmpp.secure()
+        peer.until(FEATURES)
+        peer.send(plain(self.user, "lovelace"))
+        peer.until(b"<success " + SASL + b"/>")
+        peer.send(HEADER)
+        assert b"<sm " + SM + b"/>" in peer.until(FEATURES)
+        return peer
+
+    def send(self, stanza: bytes) -> None:
+        self.sent.append(stanza)
+        self.peer.send(stanza)
+
+    def resume(self, token: bytes = b"", handled: int | None = None) -> bytes:
+        """Comes back on a new connection; what the node says to that."""
+        self.peer = self.authenticated()
+        count = self.handled if handled is None else handled
+        self.peer.send(b"<resume " + SM + b" h='%d' previd='%s'/>" % (count, token or self.token))
+        said = self.peer.until(b">")
+        if b"<resumed " in said:
+            found = re.search(rb" h='(\d+)'", said)
+            assert found is not None
+            self.acknowledged(int(found.group(1)))
+            for stanza in self.sent:
+                self.peer.send(stanza)
+        return said if b"/>" in said else said + self.peer.until(b"</failed>")
+
+    def acknowledged(self, count: int) -> None:
+        self.sent = self.sent[count - self.total:]
+        self.total = count
+
+    def stanza(self) -> bytes:
+        """The next stanza; what stream management says between is answered."""
+        while True:
+            said = self.peer.until(b">")
+            if said.startswith(b"<r "):
+                self.peer.send(b"<a " + SM + b" h='%d'/>" % self.handled)
+            elif not said.startswith(b"<a "):
+                name = re.match(rb"<(\w+)", said)
+                assert name is not None
+                if not said.endswith(b"/>"):
+                    said += self.peer.until(b"</" + name.group(1) + b">")
+                self.handled += 1
+                self.stanzas.append(said)
+                return said
+
+    def ask(self) -> int:
+        """How much of what was sent the node has handled."""
+        self.peer.send(b"<r " + SM + b"/>")
+        found = re.search(rb"<a [^>]*h='(\d+)'", self.peer.until(b"/>"))
+        assert found is not None
+        return int(found.group(1))
+
+
+def up(world: World, client: Managed) -> Peer:
+    client.send(opening(3000))
+    relay = first_of(world.servers)[1]
+    answer(relay, transcriber(relay), UP)
+    assert UP in client.stanza()
+    return relay
+
+
+def lose(client: Managed) -> None:
+    client.peer.close("reset")
+    client.xmpp.node.wait_counts("edge_detached", 1 + client.xmpp.node.counts().get("edge_resumed", 0))
+
+
+def test_a_link_lost_in_mid_stanza_comes_back_and_each_message_passes_once(world: World) -> None:
+    client = Managed(XmppWorld(world))
+    relay = up(world, client)
+    client.send(b"<message id='1'><body>first</body></message>")
+    assert client.ask() == 2
+    half = b"<message id='2'><body>second</body></message>"
+    client.sent.append(half)
+    client.peer.send(half[:20])
+    lose(client)
+    for number in range(40):
+        relay.send(b"<message><body>meanwhile %d</body></message>" % number)
+    assert b"<resumed " in client.resume()
+    bodies = [client.stanza() for _ in range(40)]
+    assert [b"meanwhile %d<" % number in body for number, body in enumerate(bodies)] == [True] * 40
+    client.send(b"<message id='3'><body>third</body></message>")
+    passed = [relay.until(b"</message>") for _ in range(3)]
+    assert [re.search(rb"<body>(\w+)", each).group(1) for each in passed] == [  # type: ignore[union-attr]
+        b"first", b"second", b"third"]
+    assert not any(server.asked() for server in world.servers)
+    assert client.xmpp.node.counts()["relays"] == 1
+
+
+def test_an_answer_that_came_while_away_is_given_once_and_a_retry_joins(world: World) -> None:
+    client = Managed(XmppWorld(world))
+    client.send(opening(3000))
+    relay = first_of(world.servers)[1]
+    asked = transcriber(relay)
+    lose(client)
+    answer(relay, asked, UP)
+    client.xmpp.node.wait_counts("up", 1)
+    assert b"<resumed " in client.resume()
+    assert UP in client.stanza() and not client.sent
+    lose(client)
+    assert b"<resumed " in client.resume()
+    assert client.ask() == 1
+    assert not client.peer.buffer and not select.select([client.peer.socket], [], [], 0)[0]
+    relay.send(b"<message><body>x</body></message>")
+    assert b"<body>x" in client.stanza() and not any(server.asked() for server in world.servers)
+
+
+def test_an_open_that_is_repeated_while_it_is_out_joins(world: World) -> None:
+    client = Managed(XmppWorld(world))
+    client.send(opening(3000))
+    relay = first_of(world.servers)[1]
+    asked = transcriber(relay)
+    client.send(opening(3000))
+    assert client.ask() == 2
+    answer(relay, asked, UP)
+    assert UP in client.stanza() and client.ask() == 2
+    assert client.xmpp.node.counts()["messages"] == 1 and not any(server.asked() for server in world.servers)
+
+
+def test_the_newer_of_two_links_wins(world: World) -> None:
+    client = Managed(XmppWorld(world))
+    relay = up(world, client)
+    old = client.peer
+    assert b"<resumed " in client.resume()
+    assert b"<conflict " in old.until(b"</stream:stream>") and old.ending() == "end"
+    client.send(b"<message><body>newer</body></message>")
+    assert b"newer" in relay.until(b"</message>")
+
+
+@pytest.mark.parametrize("how", ["wrong", "foreign", "ended"])
+def test_a_token_that_does_not_serve_tells_nothing(world: World, how: str) -> None:
+    xmpp = XmppWorld(world)
+    client = Managed(xmpp)
+    relay = up(world, client)
+    if how == "ended":
+        client.peer.send(b"</stream:stream>")
+        assert relay.ending() == "end"
+    else:
+        lose(client)
+    if how == "foreign":
+        stranger, _ = xmpp.client()
+        stranger.close()
+        peer = xmpp.connect(HEADER)
+        peer.until(FEATURES)
+        peer.send(b"<auth " + SASL + b" mechanism='ANONYMOUS'/>")
+        peer.until(b"<success " + SASL + b"/>")
+        peer.send(HEADER)
+        peer.until(FEATURES)
+        peer.send(b"<resume " + SM + b" h='0' previd='" + client.token + b"'/>")
+        said = peer.until(b"</failed>")
+    else:
+        said = client.resume(b"0" * 48 if how == "wrong" else b"")
+        peer = client.peer
+    handled = b" h='1'" if how == "ended" else b""  # his own, so he is told how far it came
+    why = b"<item-not-found xmlns='urn:ietf:params:xml:ns:xmpp-stanzas'/>"
+    assert said == b"<failed " + SM + handled + b">" + why + b"</failed>"
+    peer.send(BIND % b"")  # the stream goes on
+    assert b"<jid>" in peer.until(b"</iq>")
+
+
+@pytest.mark.parametrize("count", [5, 4294967295])
+def test_a_count_of_what_was_never_sent_ends_the_stream(world: World, count: int) -> None:
+    client = Managed(XmppWorld(world))
+    up(world, client)
+    client.peer.send(b"<a " + SM + b" h='%d'/>" % count)
+    said = client.peer.until(b"</stream:stream>")
+    assert b"<handled-count-too-high " + SM + b" h='%d' send-count='0'/>" % count in said
+    assert b"undefined-condition" in said
+
+
+def test_what_comes_out_of_turn_is_refused(world: World) -> None:
+    xmpp = XmppWorld(world)
+    peer = xmpp.secure()
+    peer.until(FEATURES)
+    peer.send(plain("ada", "lovelace"))
+    peer.until(b"<success " + SASL + b"/>")
+    peer.send(HEADER)
+    peer.until(FEATURES)
+    peer.send(b"<enable " + SM + b"/>")
+    assert b"<unexpected-request " in peer.until(b"</failed>")
+    peer.send(BIND % b"")
+    peer.until(b"</iq>")
+    peer.send(b"<resume " + SM + b" h='0' previd='x'/>")
+    assert b"<unexpected-request " in peer.until(b"</failed>")
+    peer.send(b"<enable " + SM + b"/>")
+    assert peer.until(b"/>") == b"<enabled " + SM + b"/>"
+    peer.send(b"<enable " + SM + b"/>")
+    assert b"<unexpected-request " in peer.until(b"</failed>")
+
+
+def test_a_managed_client_is_told_of_its_move_on_return(world: World) -> None:
+    xmpp = XmppWorld(world)
+    client = Managed(xmpp)
+    relay = up(world, client)
+    lose(client)
+    for number, server in enumerate(world.servers):
+        if server.port == relay.socket.getsockname()[1]:
+            world.discovery.tell(f"s-{number}", server.address, "draining")
+    assert relay.until(b"</stream:stream>") and relay.ending() == "end"
+    assert b"<resumed " in client.resume()
+    assert b"<move xmlns='urn:puffinpost:session:0'/>" in client.stanza()
+    up(world, client)
+
+
+def test_nothing_is_held_past_its_grace(world: World) -> None:
+    xmpp = XmppWorld(world, more="[resume]\ngrace_s = 1\n")
+    client = Managed(xmpp)
+    assert client.max == 1
+    relay = up(world, client)
+    client.peer.close("reset")
+    assert relay.until(b"</stream:stream>") and relay.ending() == "end"
+    assert b"<item-not-found " in client.resume()
+
+
+def test_disco_lists_what_there_is(world: World) -> None:
+    client, _ = XmppWorld(world).client()
+    client.send(b"<iq type='get' id='d'><query xmlns='http://jabber.org/protocol/disco#info'/></iq>")
+    said = client.until(b"</iq>")
+    features = re.findall(rb"<feature var='([^']*)'", said)
+    assert features == [
+        b"http://jabber.org/protocol/disco#info", b"urn:xmpp:ping", b"urn:puffinpost:session:0"]
+    client.send(b"<iq type='get' id='e'><query xmlns='http://jabber.org/protocol/disco#info' node='x'/></iq>")
+    assert b"<item-not-found " in client.until(b"</iq>")
