--- a/puffinpost/cli/main.py
+++ b/puffinpost/cli/main.py
@@ -77,6 +77,16 @@
     ), seed)
 
 
+@puffinpost.command("try")
+@click.option("--rounds", default=0, help="End after so many; 0: at Ctrl-C.")
+@click.option("--pause-s", default=5.0, show_default=True, help="Between two rounds.")
+def try_(rounds: int, pause_s: float) -> None:
+    """Start a small world on loopback, with one node and all its fronts, and open sessions in it."""
+    from puffinpost.cli.tour import run as tour
+
+    tour(rounds, pause_s)
+
+
 def main() -> int:
     """Runs what the arguments name; the exit code."""
     puffinpost(prog_name="puffinpost")
--- a/puffinpost/emulator/device.py
+++ b/puffinpost/emulator/device.py
@@ -1,4 +1,4 @@
-"""A stand-in MQTT device: it keeps what a client must keep over its connections, and knows no socket."""
+"""An MQTT device: it keeps what a client must keep over its connections, and knows no socket."""
 
 from __future__ import annotations
 
--- a/tests/test_edge_machine.py
+++ b/tests/test_edge_machine.py
@@ -11,7 +11,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
-from mqtt_standins import Device
+from puffinpost.emulator.device import Device
 from test_core import Stage
 
 from puffinpost.config import MqttConfig
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -15,7 +15,7 @@
 import paho.mqtt.client as paho
 import pytest
 from conftest import World
-from mqtt_standins import Device
+from puffinpost.emulator.device import Device
 from paho.mqtt.enums import CallbackAPIVersion
 from paho.mqtt.packettypes import PacketTypes
 from paho.mqtt.properties import Properties
