--- a/bench/poor_links.py
+++ b/bench/poor_links.py
@@ -170,16 +170,18 @@
     parser.add_argument("--cell", help=argparse.SUPPRESS)
     given = parser.parse_args()
     if given.cell:
-        figures = asyncio.run(cell(*orjson.loads(given.cell), given.devices, given.seconds))
+        outage, delay_ms, cut, resumes = orjson.loads(given.cell)
+        figures = asyncio.run(cell(outage, delay_ms, cut, resumes, given.devices, given.seconds))
         sys.stdout.buffer.write(orjson.dumps(figures))
         return
     cells = list(itertools.product(OUTAGES, DELAYS_MS, CUTS, (True, False)))
-    print("| outage | delay | cut every | resumes | returns | kept | set-ups a device | sent | lost | doubled "
-          "| first line |\n|---|---|---|---|---|---|---|---|---|---|---|")
+    print("| outage | delay | cut every | resumes | returns | kept | set-ups a device | sent | lost "
+          "| doubled | first line |\n|---|---|---|---|---|---|---|---|---|---|---|")
     for at in range(0, len(cells), given.jobs):
         part = [subprocess.Popen(
             [sys.executable, "-m", "bench.poor_links", "--devices", str(given.devices),
-             "--seconds", str(given.seconds), "--cell", orjson.dumps(each).decode()], stdout=subprocess.PIPE)
+             "--seconds", str(given.seconds), "--cell", orjson.dumps(each).decode()],
+            stdout=subprocess.PIPE)
             for each in cells[at:at + given.jobs]]
         for each in part:
             row = orjson.loads(each.communicate()[0])
--- a/puffinpost/config/edge.py
+++ b/puffinpost/config/edge.py
@@ -18,6 +18,7 @@
 from puffinpost.inventory import parse_address
 
 if TYPE_CHECKING:
+    from puffinpost.protocol.scram import Verifiers
     from puffinpost.protocol.xmpp_stream import ClientOptions, ServerOptions
 
 Address = tuple[str, int]
@@ -139,7 +140,8 @@
     return XmppConfig(
         listen,
         ServerOptions(table.domain, tuple(table.mechanisms), users, bool(table.certificate),
-                      table.require_tls, table.stanza_limit),
+                      table.require_tls, table.stanza_limit, binding=_binding(table),
+                      verifiers=_verifiers(table, users)),
         ClientOptions(south.domain, south.mechanism, south.username, password, south.tls,
                       table.stanza_limit),
         _server_tls(table, name), _client_tls(south), south.port,
@@ -202,6 +204,26 @@
     return made
 
 
+def _binding(table: schema.Xmpp) -> bytes:
+    """What SCRAM with channel binding is bound to; empty where that is not offered."""
+    if not table.certificate or "SCRAM-SHA-256-PLUS" not in table.mechanisms:
+        return b""
+    from puffinpost.protocol.scram import binding_of
+
+    try:
+        return binding_of(_text(table.certificate, "xmpp.certificate"))
+    except ValueError as problem:
+        raise ConfigError(f"xmpp.certificate: {problem}") from None
+
+
+def _verifiers(table: schema.Xmpp, users: Mapping[str, str]) -> Verifiers | None:
+    if not any(name.startswith("SCRAM") for name in table.mechanisms):
+        return None
+    from puffinpost.protocol.scram import Verifiers
+
+    return Verifiers(users)
+
+
 def _client_tls(south: schema.Transcribers) -> ssl.SSLContext | None:
     try:
         return ssl.create_default_context(cafile=south.ca or None) if south.tls else None
--- a/puffinpost/edge/outbox.py
+++ b/puffinpost/edge/outbox.py
@@ -47,6 +47,7 @@
         self._out: dict[int, Entry] = {}  # written on the present link, in order
         self._waiting: deque[Entry] = deque()
         self._window: int | None = None  # None: no limit, as the link has shown that it carries
+        self.unpacked_out = 0  # how many were out in the process that it came from
         self._replay = 0  # how many of those that wait were written before
 
     def __len__(self) -> int:
@@ -139,13 +140,22 @@
     def pack(self) -> dict[str, Any]:
         """All of it as JSON can hold it, for another process of this node."""
         return {"acknowledged": self.acknowledged, "last": self._last,
+                "out": len(self._out),
                 "entries": [[it.number, it.kind, it.data.hex(), it.sends] for it in self.entries()]}
 
+    def carried_on(self, out: int) -> None:
+        """The link goes on in this process: so many of the first entries are on it already."""
+        for _ in range(min(out, len(self._waiting))):
+            entry = self._waiting.popleft()
+            self._out[entry.number] = entry
+        self._window, self._replay = None, 0
+
     @classmethod
     def unpack(cls, state: dict[str, Any]) -> Outbox:
         """What ``pack`` gave, with nothing out. Raises ``KeyError``, ``TypeError`` or ``ValueError``."""
         made = cls()
         made.acknowledged, made._last = int(state["acknowledged"]), int(state["last"])
+        made.unpacked_out = int(state.get("out", 0))
         for number, kind, data, sends in state["entries"]:
             entry = Entry(int(number), str(kind), bytes.fromhex(data), int(sends))
             made._waiting.append(entry)
--- a/puffinpost/edge/registry.py
+++ b/puffinpost/edge/registry.py
@@ -15,10 +15,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from typing import Any
 
 from puffinpost.edge.guesses import Guesses
 from puffinpost.edge.limits import Limits
-from puffinpost.edge.outbox import AckError
+from puffinpost.edge.outbox import AckError, Outbox
 from puffinpost.edge.session import Session, State, Why
 
 TOKEN_BYTES = 24  # 192 random bits
@@ -95,6 +96,34 @@
         self._count("edge_begun")
         return session
 
+    def restore(self, state: dict[str, Any]) -> Session:
+        """A session that another process of this node has let go. It is attached; whoever has no link for it
+        detaches it. Raises ``KeyError``, ``TypeError`` or ``ValueError``; the last also where its name is
+        taken: its device was quicker, and has begun anew here.
+        """
+        if state["name"] and state["name"] in self._names:
+            raise ValueError(f"there is a session {state['name']!r}")
+        self._numbers += 1
+        session = Session(self._numbers, str(state["user"]), str(state["name"]), self.limits,
+                          min(int(state["grace_ns"]), self.limits.grace_ns))
+        session.received = int(state["received"])
+        session.outbox = Outbox.unpack(state["outbox"])
+        session.digest = bytes.fromhex(state["digest"])
+        self._enter(session)
+        if session.digest:
+            self._digests[session.digest] = session
+        self._count("edge_restored")
+        self._changed(session.outbox.octets)
+        return session
+
+    def let_go(self, session: Session) -> None:
+        """Another process of this node has a session: it is none of this one's any more."""
+        self._count("edge_let_go")
+        self._changed(-session.outbox.octets)
+        self._digests.pop(session.digest, None)
+        self._leave(session)
+        session.changed = lambda octets: None
+
     def _enter(self, session: Session) -> None:
         session.changed = self._changed
         self.sessions[session.number] = session
--- a/puffinpost/edge/session.py
+++ b/puffinpost/edge/session.py
@@ -158,6 +158,17 @@
         self.changed(-before)
         return lost
 
+    def carried_on(self) -> None:
+        """It came from another process together with its link."""
+        self.outbox.carried_on(self.outbox.unpacked_out)
+
+    def pack(self) -> dict[str, Any]:
+        """All that another process of this node needs to have it, as JSON can hold it."""
+        return {
+            "user": self.user, "name": self.name, "grace_ns": self.grace_ns, "received": self.received,
+            "digest": self.digest.hex(), "outbox": self.outbox.pack(), "expires_ns": self.expires_ns,
+        }
+
     def _go(self, state: State) -> None:
         if state not in _LEADS[self.state]:
             raise AssertionError(f"session {self.number}: {self.state.value} does not lead to {state.value}")
--- a/puffinpost/fronts/mqtt.py
+++ b/puffinpost/fronts/mqtt.py
@@ -63,6 +63,36 @@
             link.secure(Tls(self.config.tls, True), made.certified)
         return made
 
+    def take_over(self, state: dict[str, Any], north: Link | None, south: Link | None) -> MqttDevice:
+        """A device's session from another process of this node; the caller runs the links.
+
+        Raises ``KeyError``, ``TypeError`` or ``ValueError`` where it cannot be had.
+        """
+        session = self.registry.restore(state["session"])
+        device = MqttDevice(self, session)
+        device.unpack(state)
+        link = MqttLink(self, north) if north is not None else None
+        if link is not None:
+            self.links.add(link)
+            link.carry_on(device, state["link"])
+        else:
+            # What is left of its grace runs on here.
+            away_ns = session.grace_ns - max(0, state["session"]["expires_ns"] - self.core.clock.now())
+            self.registry.detach(session, session.generation, self.core.clock.now() - away_ns)
+        if south is not None:
+            device.exchange = self.core.take_over(state, device)
+            relay = device.exchange.relay
+            assert relay is not None
+            device.south = TranscriberSide.carried_on(
+                device, relay, south, bytes.fromhex(state["south"]), state["last"])
+            self.places.take_over(device)
+            if link is None:
+                self.places.away(device)
+        elif link is not None:
+            self.places.rest(link)
+        device.settle()
+        return device
+
     def turn_away(self, connection: socket.socket) -> None:
         """Answers a connection for which there was no descriptor but the spare one: MQTT has no word for it
         before CONNECT is read, and the close says it.
@@ -112,6 +142,23 @@
         """The protocol's version; 5 until it is known."""
         return self.parser.version or mqtt.V5
 
+    def carry_on(self, device: MqttDevice, state: dict[str, Any]) -> None:
+        """The link was another process's; its CONNECT was answered there."""
+        self.parser.version, self.silence_ns = int(state["version"]), int(state["silence_ns"])
+        self.device, device.on = device, self
+        self.generation = device.session.generation
+        self.heard_ns = self.core.clock.now()
+        if self.silence_ns:
+            self._watch = self.core.clock.call_later(self.silence_ns, self._listen)
+
+    def let_go(self) -> None:
+        """Another process has the link."""
+        self.over, self.device = True, None
+        self.core.clock.cancel(self._watch)
+        self.front.links.discard(self)
+        self.front.places.left(self)
+        self.link.let_go()
+
     # --- what the link tells (Receiver) -------------------------------------------------------------
 
     def received(self, data: bytes) -> None:
@@ -392,6 +439,61 @@
         if self.on is not None and south is not None:
             self.on.link.sink, south.sink = south, self.on.link
 
+    # --- succession ---------------------------------------------------------------------------------
+
+    def pack(self) -> tuple[dict[str, Any], list[Link]] | None:
+        """What another process needs to carry the session on, and its links, north before south; None where
+        it cannot go just now: an answer is owed, or something is half said.
+        """
+        exchange, south, link = self.exchange, self.south, self.on
+        links: list[Link] = []
+        state: dict[str, Any] = {
+            "session": self.session.pack(), "subscriptions": self.subscriptions, "answer": self.answer.hex(),
+            "inbound": self.inbound.pack(), "outbound": self.outbound.pack(), "last_ident": self.last_ident,
+            "most": self.receive_maximum, "asked": self.asked[0], "north": link is not None,
+        }
+        if link is not None:
+            if link.parser.pending or not link.link.idle:
+                return None
+            state["link"] = {"version": link.version, "silence_ns": link.silence_ns}
+            links.append(link.link)
+        if exchange is not None:
+            if not exchange.standing or exchange.held or south is None or south.link is None or (
+                not south.link.idle
+            ):
+                return None
+            state |= self.core.describe(exchange)
+            state |= {"south": south.splitter.rest.hex(), "last": south.last.name}
+            links.append(south.link)
+        return state, links
+
+    def unpack(self, state: dict[str, Any]) -> None:
+        """What ``pack`` gave, but for the links and the message."""
+        self.subscriptions = {str(topic): int(qos) for topic, qos in state["subscriptions"].items()}
+        self.inbound.unpack(state["inbound"])
+        self.outbound.unpack(state["outbound"])
+        self.answer, self.last_ident = bytes.fromhex(state["answer"]), int(state["last_ident"])
+        self.receive_maximum, self.asked = int(state["most"]), (str(state["asked"]), None)
+
+    def settle(self) -> None:
+        """Everything is in its place in this process: what was written there is taken as written."""
+        self._tie()
+        if self.on is not None:
+            self.session.carried_on()
+        self.pump()
+
+    def let_go(self) -> None:
+        """Another process has the session."""
+        exchange, south, link = self.exchange, self.south, self.on
+        self.exchange = self.on = None
+        self.front.registry.let_go(self.session)
+        self.front.places.left(self)
+        if link is not None:
+            link.let_go()
+        if exchange is not None and south is not None and south.link is not None:
+            south.link.let_go()
+            self.core.handed_over(exchange)
+
     # --- from the device ----------------------------------------------------------------------------
 
     def published(self, packet: Publish) -> None:
--- a/puffinpost/fronts/platform.py
+++ b/puffinpost/fronts/platform.py
@@ -45,12 +45,11 @@
         session.exchange = self.core.take_over(state, session)
         relay = session.exchange.relay
         assert relay is not None
-        session.south = TranscriberSide(session, relay, None)
-        session.south.link, session.south.last = south, lines.Word[state["last"]]
+        session.south = TranscriberSide.carried_on(
+            session, relay, south, bytes.fromhex(state["south"]), state["last"])
         link.sink, south.sink = south, link
-        for splitter, rest in ((session.splitter, state["north"]), (session.south.splitter, state["south"])):
-            for _ in splitter.feed(bytes.fromhex(rest)):
-                pass  # only the part of a line that is not whole was passed on
+        for _ in session.splitter.feed(bytes.fromhex(state["north"])):
+            pass  # only the part of a line that is not whole was passed on
         self.places.take_over(session)
         return session
 
--- a/puffinpost/fronts/transcriber.py
+++ b/puffinpost/fronts/transcriber.py
@@ -38,6 +38,16 @@
         self.splitter = lines.LineSplitter()
         self.last = lines.Word.OTHER
 
+    @classmethod
+    def carried_on(cls, session: LineNorth, relay: Relay, link: Link, rest: bytes,
+                   last: str) -> TranscriberSide:
+        """A relay that stood in another process of this node, which had read part of a line."""
+        made = cls(session, relay, None)
+        made.link, made.last = link, lines.Word[last]
+        for _ in made.splitter.feed(rest):
+            pass  # only the part of a line that is not whole was passed on
+        return made
+
     def connected(self) -> None:
         assert self.opening is not None  # one that was taken over is connected already
         self._write(self.opening.onward(self.core.left_ms(self.relay)))
--- a/puffinpost/protocol/xmpp_stream.py
+++ b/puffinpost/protocol/xmpp_stream.py
@@ -12,10 +12,13 @@
 import secrets
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from puffinpost.protocol import xmpp
 
+if TYPE_CHECKING:
+    from puffinpost.protocol.scram import Exchange, Verifiers
+
 MOST_TRIES = 3
 MOST_RESOURCE = 128
 
@@ -119,6 +122,8 @@
     require_tls: bool = False
     limit: int = 65536
     managed: bool = True  # whether stream management is offered
+    binding: bytes = b""  # the certificate's channel binding data (RFC 5929, 4.1)
+    verifiers: Verifiers | None = None  # what SCRAM checks, where it is offered
 
 
 class ServerStream(_Stream):
@@ -131,6 +136,7 @@
         self.certified = ""  # the name in the client's certificate
         self._tries = 0
         self._asked = ""  # the mechanism that waits for its response
+        self._scram: Exchange | None = None  # the attempt whose first message was answered
         self._headed = False
 
     @property
@@ -185,10 +191,13 @@
             if not (offers_tls and self.options.require_tls):
                 names = "".join(f"<mechanism>{name}</mechanism>" for name in self._mechanisms())
                 inner += f"<mechanisms xmlns='{xmpp.SASL}'>{names}</mechanisms>" if names else ""
+                if "-PLUS<" in names:
+                    inner += BINDINGS
         return f"<stream:features>{inner}</stream:features>".encode()
 
     def _mechanisms(self) -> list[str]:
-        fit = {"PLAIN": self.secure, "EXTERNAL": bool(self.certified), "ANONYMOUS": True}
+        fit = {"PLAIN": self.secure, "EXTERNAL": bool(self.certified), "ANONYMOUS": True,
+               "SCRAM-SHA-256": True, "SCRAM-SHA-256-PLUS": self.secure and bool(self.options.binding)}
         return [name for name in self.options.mechanisms if fit.get(name, False)]
 
     def _stanza(self, event: xmpp.Stanza) -> None:
@@ -223,8 +232,8 @@
                     self._refuse("encryption-required" if known else "invalid-mechanism")
                 elif self.options.require_tls and not self.secure:
                     self._refuse("encryption-required")
-                elif mechanism == "PLAIN" and not element.text:
-                    self._asked = mechanism
+                elif (mechanism == "PLAIN" or mechanism.startswith("SCRAM")) and not element.text:
+                    self._asked, self._scram = mechanism, None
                     self.owner.stream_write(f"<challenge xmlns='{xmpp.SASL}'/>".encode())
                 else:
                     self._check(mechanism, element.text)
@@ -232,7 +241,7 @@
                 mechanism, self._asked = self._asked, ""
                 self._check(mechanism, element.text)
             case xmpp.SASL, "abort":
-                self._asked = ""
+                self._asked, self._scram = "", None
                 self._refuse("aborted")
             case _:
                 self.fail("not-authorized", "no stanza passes before SASL has succeeded")
@@ -245,7 +254,9 @@
         except (binascii.Error, UnicodeDecodeError):
             self._refuse("incorrect-encoding")
             return
-        if mechanism == "ANONYMOUS":
+        if mechanism.startswith("SCRAM"):
+            self._check_scram(mechanism, said)
+        elif mechanism == "ANONYMOUS":
             self._accept(secrets.token_hex(8))
         elif mechanism == "EXTERNAL":
             if said.partition("@")[0] in ("", self.certified):
@@ -268,9 +279,33 @@
             else:
                 self._accept(user)
 
-    def _accept(self, user: str) -> None:
+    def _check_scram(self, mechanism: str, said: str) -> None:
+        from puffinpost.protocol.scram import Exchange, ScramError
+
+        scram, self._scram = self._scram, None
+        try:
+            if scram is None:
+                # The binding goes along without -PLUS too: a client that was told of none is found out.
+                plus = "SCRAM-SHA-256-PLUS" in self._mechanisms()
+                assert self.options.verifiers is not None  # SCRAM is offered with them only
+                binding = self.options.binding if plus else b""
+                scram = Exchange(mechanism, self.options.verifiers, binding)
+                challenge = scram.first(said)
+                self._scram, self._asked = scram, mechanism
+                self.owner.stream_write(_told("challenge", challenge))
+                return
+            signature = scram.final(said)
+        except ScramError as problem:
+            self._refuse(problem.condition)
+            return
+        if scram.authzid not in ("", scram.user, f"{scram.user}@{self.options.domain}"):
+            self._refuse("invalid-authzid")
+        else:
+            self._accept(scram.user, signature)
+
+    def _accept(self, user: str, said: str = "") -> None:
         self.user = user
-        self.owner.stream_write(f"<success xmlns='{xmpp.SASL}'/>".encode())
+        self.owner.stream_write(_told("success", said))
         self._restart()
 
     def _refuse(self, condition: str) -> None:
@@ -323,6 +358,17 @@
             self.owner.stream_ready()
 
 
+# XEP-0440: what a client may bind to.
+BINDINGS = ("<sasl-channel-binding xmlns='urn:xmpp:sasl-cb:0'>"
+            "<channel-binding type='tls-server-end-point'/></sasl-channel-binding>")
+
+
+def _told(name: str, text: str) -> bytes:
+    """A SASL element and what it holds."""
+    inner = base64.b64encode(text.encode()).decode()
+    return f"<{name} xmlns='{xmpp.SASL}'{f'>{inner}</{name}>' if inner else '/>'}".encode()
+
+
 @dataclass(frozen=True, slots=True)
 class ClientOptions:
     """How the node speaks to transcribers."""
--- a/puffinpost/wiring/node.py
+++ b/puffinpost/wiring/node.py
@@ -88,6 +88,7 @@
         self.succession = Succession(
             told.folder, told.name, self.core, self.front, self.places, self, told.sockets - told.for_clients,
         )
+        self.succession.devices = self.mqtt
         self.tasks: set[asyncio.Task[None]] = set()
         self.stop = asyncio.Event()
         self.listening = False
@@ -250,7 +251,7 @@
             self.mqtt.leaving = True
         fronts = [front for front in (self.xmpp, self.mqtt) if front is not None]
         await leave(self.core, self.front, fronts, self.places, listeners,
-                    lambda: self.succession.succeeded)
+                    lambda: self.succession.succeeded and not self.succession.owed)
         if self.flows is not None:
             await self.flows.close()
         log.say(f"{self.config.name} ends; counts: {self.counters.text()}")
--- a/puffinpost/wiring/succession.py
+++ b/puffinpost/wiring/succession.py
@@ -12,18 +12,23 @@
 import os
 import socket
 from pathlib import Path
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 from urllib.parse import quote
 
+import orjson
+
 from puffinpost import interface as api
 from puffinpost import log
 from puffinpost.core import Core, Exchange
 from puffinpost.fronts.platform import PlatformFront, Session
-from puffinpost.net.channel import Channel, Hearth, Message, connect
+from puffinpost.net.channel import LONGEST, Channel, Hearth, Message, connect
 from puffinpost.net.link import Link, Receiver, stream_on
 from puffinpost.net.listener import Listener, bound
 from puffinpost.net.places import Places
 
+if TYPE_CHECKING:
+    from puffinpost.fronts.mqtt import MqttFront
+
 ANSWER_S = 1.0  # a process that does not answer for this long is taken to be stuck, and is not waited for
 TICK_S = 0.02
 AT_ONCE = 32  # sessions passed on before other work gets its turn
@@ -51,6 +56,7 @@
         self.places = places
         self.owner = owner
         self.own = own  # descriptors that a process needs beside its clients
+        self.devices: MqttFront | None = None  # where that front is on
         self.listeners: list[Listener] = []
         self.successor: Channel | None = None
         self.predecessor: Channel | None = None
@@ -110,6 +116,8 @@
                 self.places.share(self.own + message["taken"])
             case "session":
                 self._take_over(message, sockets)
+            case "device":
+                self._take_device(message, sockets)
             case "free":
                 self.core.foreign.discard(message["ident"])
             case "taken":
@@ -126,6 +134,30 @@
         self.owner.run_link(north, session)
         self.owner.run_link(south, session.south)
 
+    def _take_device(self, state: Message, sockets: list[socket.socket]) -> None:
+        """A device's session, with the links that it has: north, south, both or none."""
+        links = [Link(stream_on(each), self.places if state["north"] and not number else None)
+                 for number, each in enumerate(sockets)]
+        north = links.pop(0) if state["north"] else None
+        south = links.pop(0) if links else None
+        if south is not None and state["class"] not in self.core.classes:
+            self.owner.class_stands(state["class"])
+        try:
+            if self.devices is None:
+                raise ValueError("no MQTT front is on")
+            device = self.devices.take_over(state, north, south)
+        except (KeyError, TypeError, ValueError) as problem:
+            # Guards the transcriber: a session that nobody has is ended there.
+            log.say(f"succession: a device's session is not taken over: {problem!r}")
+            for each in (north, south):
+                if each is not None:
+                    each.close()
+            return
+        if north is not None and device.on is not None:
+            self.owner.run_link(north, device.on)
+        if south is not None and device.south is not None:
+            self.owner.run_link(south, device.south)
+
     def _predecessor_gone(self) -> None:
         self.predecessor = None
         self.core.foreign.clear()
@@ -140,6 +172,11 @@
         """Whether another process accepts in this one's place."""
         return self.successor is not None
 
+    @property
+    def owed(self) -> bool:
+        """Whether devices' sessions are here that have still to go over."""
+        return self.devices is not None and bool(self.devices.registry.sessions)
+
     def _came(self, channel: Channel) -> None:
         def came(message: Message, sockets: list[socket.socket]) -> None:
             if message["do"] == "ready":
@@ -188,6 +225,11 @@
             if passed == AT_ONCE or channel.closed:
                 break
             passed += self._pass_on(channel, exchange)
+        if self.devices is not None:
+            for session in list(self.devices.registry.sessions.values()):
+                if passed == AT_ONCE or channel.closed:
+                    break
+                passed += self._pass_device(channel, session.bearer)
         if self.places.taken != self._told_taken and not channel.closed:
             self._told_taken = self.places.taken
             channel.send({"do": "taken", "taken": self._told_taken})
@@ -207,6 +249,20 @@
         return True
 
 
+    def _pass_device(self, channel: Channel, device: Any) -> bool:
+        packed = device.pack() if hasattr(device, "pack") else None
+        if packed is None:
+            return False
+        state, links = packed
+        message = {"do": "device", **state}
+        if len(orjson.dumps(message)) > LONGEST or not channel.pass_on(
+            message, [link.stream.socket for link in links]
+        ):
+            return False
+        device.let_go()
+        return True
+
+
 def _memory(told: dict[str, Any]) -> api.Memory:
     servers = tuple(api.ServerMemory(**each) for each in told["servers"])
     return api.Memory(**{**told, "servers": servers, "called": tuple(told["called"])})
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -109,6 +109,7 @@
         (world.folder / "users.toml").write_text('ada = "lovelace"\neve = "x"\n')
         users = f'users = "{world.folder / "users.toml"}"'
         edge = f'[mqtt]\nlisten = "127.0.0.1:{self.port}"\n{users}\n{more}\n[resume]\n{resume}\n'
+        self.edge = edge
         self.node: Node = world.start(edge=edge, **kinds)
 
     def phone(self, name: str = "phone", qos: int = 2, version: int = mqtt.V5, **more: Any) -> Phone:
@@ -435,3 +436,61 @@
         client.loop_stop()
         with contextlib.suppress(OSError):
             relay.close()
+
+
+@pytest.mark.parametrize("away", [False, True])
+def test_a_session_goes_over_to_the_process_that_takes_the_nodes_place(world: World, away: bool) -> None:
+    """With its link or without one: the transcriber notices nothing, and no line is lost or doubled."""
+    front = MqttWorld(world)
+    phone, idle = front.phone(), front.phone("idle")
+    idle.subscribe()
+    idle.synced()
+    relay = phone.opened(world)
+    old = front.node
+    phone.publish("up", b"before")
+    if away:
+        phone.flush()
+        assert relay.line() == b"before\r\n"
+        phone.peer.close("reset")
+        old.wait_counts("edge_detached", 1)
+    else:
+        phone.synced()
+        assert relay.line() == b"before\r\n"
+    for number in range(10):
+        relay.send(b"down %d\r\n" % number)
+    relay.send(b"half a ")
+    if not away:
+        phone.until(lambda: len(phone.topics("down")) == 10)
+        phone.synced()
+    new = world.start(edge=front.edge, beside=old)
+    new.ready()
+    new.wait_counts("edge_restored", 2)
+    assert old.stop() == 0
+    relay.send(b"line\r\n")
+    if away:
+        phone.dial(front.port, username="ada", password=b"lovelace")
+        assert phone.connack is not None and phone.connack.present
+    phone.publish("up", b"after")
+    phone.until(lambda: len(phone.topics("down")) == 11)
+    phone.synced()
+    assert relay.line() == b"after\r\n"
+    assert phone.topics("down") == [b"down %d" % number for number in range(10)] + [b"half a line"]
+    phone.publish("open", OPEN % 1)  # the same session, asked again: known here too
+    phone.synced()
+    assert new.counts().get("relays", 0) == 0 and phone.topics("answer") == [b"UP 7"] and not asked(world)
+    idle.opened(world, 2)
+
+
+def test_a_session_that_is_away_over_an_upgrade_has_its_grace_and_no_more(world: World) -> None:
+    front = MqttWorld(world, resume="grace_s = 3")
+    phone = front.phone()
+    relay = phone.opened(world)
+    phone.synced()
+    phone.peer.close("reset")
+    front.node.wait_counts("edge_detached", 1)
+    began = time.monotonic()
+    new = world.start(edge=front.edge, beside=front.node)
+    new.wait_counts("edge_restored", 1)
+    assert front.node.stop() == 0
+    assert relay.ending() == "end" and time.monotonic() - began < 4.5
+    assert new.counts()["edge_ended_expired"] == 1
--- /dev/null
+++ b/tests/test_scram.py
@@ -0,0 +1,84 @@
+"""SCRAM on the XMPP front, by the library's client."""
+
+from __future__ import annotations
+
+import base64
+
+import pytest
+from conftest import World
+from scramp import ScramClient
+from standins import Peer
+from xmpp_standins import CERTIFICATE, FEATURES, HEADER, SASL, XmppWorld, bind, plain
+
+from puffinpost.protocol.scram import Verifiers, binding_of
+
+
+def said(text: str) -> bytes:
+    return base64.b64encode(text.encode())
+
+
+def scram(xmpp: XmppWorld, user: str, password: str, mechanism: str = "SCRAM-SHA-256",
+          binding: bytes = b"") -> tuple[Peer, bytes]:
+    """Plays SCRAM over TLS with the library's client; what came of it."""
+    peer = xmpp.secure()
+    peer.until(FEATURES)
+    client = ScramClient([mechanism], user, password, ("tls-server-end-point", binding) if binding else None)
+    peer.send(b"<auth " + SASL + b" mechanism='%s'>" % mechanism.encode() + said(client.get_client_first())
+              + b"</auth>")
+    answered = peer.until(b">")
+    if b"<challenge" not in answered:
+        return peer, answered + peer.until(b"</failure>")
+    client.set_server_first(base64.b64decode(peer.until(b"</challenge>").split(b"<")[0]).decode())
+    peer.send(b"<response " + SASL + b">" + said(client.get_client_final()) + b"</response>")
+    answered = peer.until(b">")
+    if b"<success" not in answered:
+        return peer, answered + peer.until(b"</failure>")
+    client.set_server_final(base64.b64decode(peer.until(b"</success>").split(b"<")[0]).decode())
+    return peer, b"success"
+
+
+SCRAM = 'mechanisms = ["SCRAM-SHA-256-PLUS", "SCRAM-SHA-256", "PLAIN"]'
+
+
+def test_scram_proves_both_ends_to_each_other_bound_to_the_channel(world: World) -> None:
+    xmpp = XmppWorld(world, mechanisms=SCRAM)
+    peer = xmpp.connect(HEADER)
+    offered = peer.until(FEATURES)
+    assert b"<mechanism>SCRAM-SHA-256</mechanism>" in offered and b"PLUS" not in offered
+    peer = xmpp.secure()
+    offered = peer.until(FEATURES)
+    assert b"<mechanism>SCRAM-SHA-256-PLUS</mechanism>" in offered
+    assert b"<channel-binding type='tls-server-end-point'/>" in offered
+    data = binding_of(CERTIFICATE.read_text())
+    for mechanism, binding in (("SCRAM-SHA-256", b""), ("SCRAM-SHA-256-PLUS", data)):
+        peer, came = scram(xmpp, "ada", "lovelace", mechanism, binding)
+        assert came == b"success"
+        assert bind(peer, b"phone") == b"ada@edge.test/phone"
+        peer.close()
+
+
+@pytest.mark.parametrize(("user", "password", "mechanism", "binding"), [
+    ("ada", "wrong", "SCRAM-SHA-256", b""), ("nobody", "lovelace", "SCRAM-SHA-256", b""),
+    ("ada", "lovelace", "SCRAM-SHA-256-PLUS", b"another channel"),
+])
+def test_scram_refuses_in_one_way(
+    world: World, user: str, password: str, mechanism: str, binding: bytes
+) -> None:
+    """A wrong password, a name that nobody has and a channel with somebody in it look alike."""
+    xmpp = XmppWorld(world, mechanisms=SCRAM)
+    peer, came = scram(xmpp, user, password, mechanism, binding)
+    assert came == b"<failure " + SASL + b"><not-authorized/></failure>"
+    peer.send(plain("ada", "lovelace"))  # the stream goes on
+    assert b"<success " in peer.until(b"/>")
+    peer.close()
+    peer = xmpp.secure()
+    peer.until(FEATURES)
+    for garbage in (b"eCx4", b"biwsbj1hZGEscj0=", b"cD10bHMtdW5pcXVlLCxuPWFkYSxyPXg="):
+        peer.send(b"<auth " + SASL + b" mechanism='SCRAM-SHA-256'>" + garbage + b"</auth>")
+        assert b"<malformed-request/>" in peer.until(b"</failure>")
+
+
+def test_a_name_without_a_user_has_a_salt_that_stays() -> None:
+    """Else its challenge, which changes from try to try, would tell that it is nobody's."""
+    verifiers = Verifiers({"ada": "lovelace"})
+    assert verifiers.of("nobody")[0] == verifiers.of("nobody")[0] != verifiers.of("ada")[0]
--- a/tests/xmpp_standins.py
+++ b/tests/xmpp_standins.py
@@ -37,7 +37,8 @@
     """A world whose node has the XMPP front on."""
 
     def __init__(
-        self, world: World, south_tls: bool = False, more: str = "", port: int = 0, **kinds: Any
+        self, world: World, south_tls: bool = False, more: str = "", port: int = 0,
+        mechanisms: str = 'mechanisms = ["PLAIN", "EXTERNAL", "ANONYMOUS"]', **kinds: Any
     ) -> None:
         self.world = world
         self.port = free_port()
@@ -50,7 +51,7 @@
         edge = (
             f'[xmpp]\nlisten = "127.0.0.1:{self.port}"\ndomain = "{DOMAIN}"\ncertificate = "{CERTIFICATE}"\n'
             f'key = "{KEY}"\nca = "{CERTIFICATE}"\nusers = "{world.folder / "users.toml"}"\n'
-            f'mechanisms = ["PLAIN", "EXTERNAL", "ANONYMOUS"]\n{more}'
+            f'{mechanisms}\n{more}'
             f'[xmpp.transcribers]\ndomain = "{SOUTH}"\nport = {port}\n{south}'
         )
         self.node: Node = world.start(edge=edge, **kinds)
