--- a/puffinpost/cli/tour.py
+++ b/puffinpost/cli/tour.py
@@ -42,9 +42,7 @@
 
 
 async def xmpp_session(world: SmallWorld) -> None:
-    """A stream that binds, manages itself and asks what there is. The stand-in transcribers speak lines, so a
-    session over XMPP ends with a truthful error here.
-    """
+    """A stream that binds, has itself managed, asks what there is and opens a session."""
     reader, writer = await asyncio.open_connection("127.0.0.1", world.xmpp)
 
     async def until(mark: bytes) -> bytes:
@@ -64,6 +62,13 @@
     writer.write(b"<iq type='get' id='d'><query xmlns='http://jabber.org/protocol/disco#info'/></iq>")
     count = (await until(b"</iq>")).count(b"<feature ")
     say("XMPP", f"disco#info lists {count} features")
+    asked = f"<open xmlns='urn:puffinpost:session:0' class='{CLASS}' wait='2000'/>"
+    writer.write(f"<iq type='set' id='o'>{asked}</iq>".encode())
+    said = (await until(b"</iq>")).partition(b"<up ")[2].partition(b"/>")[0]
+    say("XMPP", f"opened: {said.decode()}")
+    writer.write(b"<message><body>good morning</body></message>")
+    body = (await until(b"</message>")).partition(b"<body>")[2].partition(b"</body>")[0]
+    say("XMPP", f"said 'good morning', heard {body.decode()!r}")
     writer.write(b"</stream:stream>")
     writer.close()
 
--- a/puffinpost/emulator/world.py
+++ b/puffinpost/emulator/world.py
@@ -18,6 +18,8 @@
 
 import orjson
 
+from puffinpost.protocol import xmpp, xmpp_stream
+
 CLASS = "live-text"
 SETTINGS: dict[str, Any] = {
     "Me": 0, "FleetSize": 1, "Locality": 0, "Dcs": ["amman"], "Kinds": ["large"],
@@ -76,6 +78,64 @@
         writer.close()
 
 
+class XmppTranscriber:
+    """The same over XMPP: every session is taken, every message comes back."""
+
+    def __init__(self, told: Callable[[str], None]) -> None:
+        self.told = told
+        self.port = 0
+        self.opened = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listens on a port of its own."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        stream = xmpp_stream.ServerStream(
+            _Echo(self, writer), xmpp_stream.ServerOptions("transcribers.localhost", ("ANONYMOUS",)))
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+            while (data := await reader.read(8192)) and not stream.over:
+                stream.feed(data)
+                await writer.drain()
+        writer.close()
+
+
+class _Echo:
+    """What stands behind a stream of the node's."""
+
+    def __init__(self, transcriber: XmppTranscriber, writer: asyncio.StreamWriter) -> None:
+        self.transcriber = transcriber
+        self.writer = writer
+
+    def stream_write(self, data: bytes) -> None:
+        self.writer.write(data)
+
+    def stream_secure(self) -> None:
+        raise AssertionError("no TLS is offered")
+
+    def stream_ready(self) -> None:
+        pass
+
+    def stream_managed(self, element: xmpp.Element) -> None:
+        pass
+
+    def stream_over(self, clean: bool) -> None:
+        self.writer.close()
+
+    def stream_stanza(self, stanza: xmpp.Stanza) -> None:
+        element = stanza.element
+        if element.name == "message":
+            self.writer.write(xmpp.readdress(stanza.raw, {}, {}))
+        elif element.name == "iq":
+            self.transcriber.opened += 1
+            self.transcriber.told("a session over XMPP is taken")
+            receipt = f"<up xmlns='urn:puffinpost:session:0' receipt='{self.transcriber.opened}'/>".encode()
+            self.writer.write(xmpp.stanza(
+                "iq", {"type": "result", "id": element.attributes.get("id", "")}, receipt))
+
+
 class Discovery:
     """Tells a list that never changes, and lets watches wait."""
 
@@ -119,6 +179,7 @@
         self.folder = folder
         self.more = more  # tables for the operator's file
         self.transcribers = [Transcriber(f"s-{number}", told) for number in range(transcribers)]
+        self.xmpp_transcriber = XmppTranscriber(told)
         self.discovery = Discovery(self.transcribers)
         self.lines, self.xmpp, self.mqtt, self.console = (free_port() for _ in range(4))
         self.node: asyncio.subprocess.Process | None = None
@@ -127,6 +188,7 @@
         """Starts everything; the node takes clients once this returns."""
         for each in self.transcribers:
             await each.start()
+        await self.xmpp_transcriber.start()
         await self.discovery.start()
         discovery = f"127.0.0.1:{self.discovery.port}"
         config = self.folder / "config.json"
@@ -138,6 +200,7 @@
         }))
         edge = self.folder / "edge.toml"
         edge.write_text(f'[xmpp]\nlisten = "127.0.0.1:{self.xmpp}"\nmechanisms = ["ANONYMOUS"]\n'
+                        f"[xmpp.transcribers]\nport = {self.xmpp_transcriber.port}\n"
                         f'[mqtt]\nlisten = "127.0.0.1:{self.mqtt}"\nanonymous = true\n{self.more}')
         told = {"GW_CONFIG": str(config), "GW_EDGE": str(edge), "TMPDIR": str(self.folder)}
         kept = {name: value for name, value in os.environ.items() if not name.startswith("GW_")}
--- /dev/null
+++ b/tests/test_slixmpp.py
@@ -0,0 +1,77 @@
+"""A client of others' making, slixmpp, resumes its session over a link that is cut."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections.abc import Callable
+from typing import Any
+from xml.etree import ElementTree
+
+import slixmpp
+from conftest import World
+from test_mqtt import Link, asked, links
+from test_node import first_of
+from xmpp_standins import CERTIFICATE, DOMAIN, SESSION, UP, XmppWorld, answer, transcriber
+
+__all__ = ["links"]
+SHORT_S = 20.0
+
+
+async def in_thread(call: Callable[..., Any], *words: Any) -> Any:
+    return await asyncio.wait_for(asyncio.get_running_loop().run_in_executor(None, call, *words), SHORT_S)
+
+
+async def play(world: World, xmpp: XmppWorld, link: Link) -> list[str]:
+    """What the client heard, once it has heard all."""
+    client = slixmpp.ClientXMPP(f"ada@{DOMAIN}/phone", "lovelace")
+    client.ca_certs = str(CERTIFICATE)
+    client.register_plugin("xep_0198")
+    heard: list[str] = []
+    events = {name: asyncio.Event() for name in ("sm_enabled", "session_resumed", "disconnected", "all")}
+    for name in ("sm_enabled", "session_resumed", "disconnected"):
+        client.add_event_handler(name, lambda told, name=name: events[name].set())
+
+    def message(told: Any) -> None:
+        heard.append(told["body"])
+        if len(heard) == 20:
+            events["all"].set()
+
+    async def comes(name: str) -> None:
+        await asyncio.wait_for(events[name].wait(), SHORT_S)
+
+    client.add_event_handler("message", message)
+    client.connect("127.0.0.1", link.port)
+    await comes("sm_enabled")
+    iq = client.make_iq_set(ito=DOMAIN)
+    iq.append(ElementTree.fromstring(f"<open xmlns='{SESSION}' class='live-text' wait='3000'/>"))
+    asking = asyncio.ensure_future(iq.send(timeout=SHORT_S))  # type: ignore[no-untyped-call]
+    relay = (await in_thread(first_of, world.servers))[1]
+    answer(relay, await in_thread(transcriber, relay), UP)
+    assert (await asking)["type"] == "result"
+    for number in range(10):
+        client.send_message(slixmpp.JID(DOMAIN), f"up {number}")
+        relay.send(b"<message><body>down %d</body></message>" % number)
+    await in_thread(link.tell, "cut", "cut")
+    await comes("disconnected")
+    for number in range(10, 20):
+        relay.send(b"<message><body>down %d</body></message>" % number)
+    client.connect("127.0.0.1", link.port)
+    await comes("session_resumed")
+    for number in range(10, 20):
+        client.send_message(slixmpp.JID(DOMAIN), f"up {number}")
+    await comes("all")
+    passed = [await in_thread(relay.until, b"</message>") for _ in range(20)]
+    found = [re.search(rb"<body>(.*)</body>", each) for each in passed]
+    assert [each.group(1) for each in found if each] == [b"up %d" % number for number in range(20)]
+    await client.disconnect()
+    return heard
+
+
+def test_slixmpp_keeps_its_session_over_a_cut(world: World, links: Callable[..., Link]) -> None:
+    xmpp = XmppWorld(world, mechanisms='mechanisms = ["SCRAM-SHA-256"]')
+    link = links(xmpp.port, "--delay-ms", "5")
+    heard = asyncio.run(play(world, xmpp, link))
+    assert heard == [f"down {number}" for number in range(20)] and not asked(world)
+    counts = xmpp.node.counts()
+    assert counts["relays"] == 1 and counts["edge_resumed"] + counts.get("edge_taken_over", 0) == 1
