--- a/puffinpost/edge/outbox.py
+++ b/puffinpost/edge/outbox.py
@@ -84,22 +84,31 @@
         """What is to be written now, in order. ``most``: how many may be out unacknowledged (MQTT 5,
         4.9; the receive maximum). What is returned counts as written.
         """
-        limit = min(bound for bound in (most, self._window, len(self)) if bound is not None)
+        waiting, out, window = self._waiting, self._out, self._window
+        if not waiting:
+            return []
+        room = len(waiting)
+        if most is not None:
+            room = min(room, most - len(out))
+        if window is not None:
+            room = min(room, window - len(out))
         found: list[Entry] = []
-        while self._waiting and len(self._out) < limit:
-            entry = self._waiting.popleft()
+        for _ in range(room):
+            entry = waiting.popleft()
             if entry.sends and self._replay:
                 self._replay -= 1
             entry.sends += 1
-            self._out[entry.number] = entry
+            out[entry.number] = entry
             found.append(entry)
         return found
 
     def acknowledge(self, count: int) -> list[Entry]:
         """The device has all up to a count. Raises ``AckError`` where that cannot be, and changes nothing."""
         wanted = ahead(count, self.acknowledged)
+        if not wanted:
+            return []
         numbers = list(self._out)[:wanted]
-        if wanted and (len(numbers) < wanted or numbers[-1] != count):
+        if len(numbers) < wanted or numbers[-1] != count:
             raise AckError(f"{count} messages acknowledged, and {self.acknowledged} to "
                            f"{after(self.acknowledged, len(self._out))} is what can be")
         return [entry for number in numbers if (entry := self.release(number)) is not None]
--- a/puffinpost/edge/session.py
+++ b/puffinpost/edge/session.py
@@ -103,9 +103,8 @@
         """A message for the device; None where the session has ended and nobody will read it."""
         if self.state is State.ENDED:
             return None
-        before = self.outbox.octets
         entry = self.outbox.push(kind, data)
-        self.changed(self.outbox.octets - before)
+        self.changed(entry.size)
         return entry
 
     def due(self, most: int | None = None) -> list[Entry]:
--- a/puffinpost/fronts/xmpp.py
+++ b/puffinpost/fronts/xmpp.py
@@ -30,7 +30,7 @@
 NEGOTIATION_S = 30.0  # from the stream's header until a resource is bound; the header has a newcomer's time
 MOST_HELD = 8 * 1024  # of a client's messages before its session stands; then it is not read any more
 HELD_EXTRA = 64  # what each costs beside its bytes
-ASK_EVERY = 8  # stanzas to a managed client before it is asked what it has (XEP-0198, 4)
+ASK_EVERY = 16  # stanzas to a managed client before it is asked what it has (XEP-0198, 4)
 _OPEN = re.compile(rb"<(?:[^\s:/>]+:)?open[\s/>]")
 
 
@@ -350,12 +350,13 @@
         if managed is None:
             return
         if connection is not None:
-            for entry in managed.due():
-                connection.link.write(entry.data)
-                self._unasked += 1
+            parts = [entry.data for entry in managed.due()]
+            self._unasked += len(parts)
             if self._unasked >= ASK_EVERY or (self._unasked and managed.outbox.held):
                 self._unasked = 0
-                connection.link.write(xmpp.MANAGEMENT_ASK)
+                parts.append(xmpp.MANAGEMENT_ASK)
+            if parts:
+                connection.link.write(b"".join(parts))  # one write: each is a call of the system's
         self._regulate(managed)
 
     def _regulate(self, managed: Session) -> None:
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -382,6 +382,15 @@
     assert relay.ending() == "end" and front.node.process.wait(WAIT_S) == 0
 
 
+def test_sigterm_frees_the_transcriber_of_a_device_that_is_away(world: World) -> None:
+    front = MqttWorld(world)
+    phone = front.phone()
+    relay = phone.opened(world)
+    phone.peer.close("reset")
+    front.node.wait_counts("edge_detached", 1)
+    assert front.node.stop() == 0 and relay.ending() == "end"
+
+
 @pytest.mark.parametrize("protocol", [paho.MQTTv5, paho.MQTTv311])
 def test_a_client_of_others_making_keeps_its_session_over_a_poor_link(
     world: World, links: Callable[..., Link], protocol: Any
--- a/tests/test_slixmpp.py
+++ b/tests/test_slixmpp.py
@@ -25,7 +25,7 @@
 async def play(world: World, xmpp: XmppWorld, link: Link) -> list[str]:
     """What the client heard, once it has heard all."""
     client = slixmpp.ClientXMPP(f"ada@{DOMAIN}/phone", "lovelace")
-    client.ca_certs = str(CERTIFICATE)
+    client.ca_certs = CERTIFICATE
     client.register_plugin("xep_0198")
     heard: list[str] = []
     events = {name: asyncio.Event() for name in ("sm_enabled", "session_resumed", "disconnected", "all")}
