XMPP sessions are resumed at the process that comes after; what an earlier link carried counts

Need: at an upgrade a client with stream management lost what it was owed. The test for that also showed that a count of stanzas which an earlier link had carried, and this one had not been given again yet, ended the stream with handled-count-too-high.

Change: a managed XMPP session goes over once its message is moved; its client is sent off with system-shutdown and resumes at the new process. An acknowledgement may cover whatever was ever written. A process that leaves waits, within its time, for sessions that go over. Tests of the link emulator and of QoS 0.

--- a/puffinpost/edge/outbox.py
+++ b/puffinpost/edge/outbox.py
@@ -107,15 +107,20 @@
         wanted = ahead(count, self.acknowledged)
         if not wanted:
             return []
-        numbers = list(self._out)[:wanted]
+        # What an earlier link was given counts too, whether or not this one has been given it again.
+        again = [entry.number for entry in self._waiting if entry.sends] if wanted > len(self._out) else []
+        numbers = [*self._out, *again][:wanted]
         if len(numbers) < wanted or numbers[-1] != count:
             raise AckError(f"{count} messages acknowledged, and {self.acknowledged} to "
-                           f"{after(self.acknowledged, len(self._out))} is what can be")
+                           f"{after(self.acknowledged, len(self._out) + len(again))} is what can be")
         return [entry for number in numbers if (entry := self.release(number)) is not None]
 
     def release(self, number: int) -> Entry | None:
         """The device has one message. None where it is not out: an acknowledgement that comes twice."""
         entry = self._out.pop(number, None)
+        if entry is None and self._waiting and self._waiting[0].number == number and self._waiting[0].sends:
+            entry = self._waiting.popleft()
+            self._replay -= 1
         if entry is None:
             return None
         self.octets -= entry.size
--- a/puffinpost/fronts/mqtt.py
+++ b/puffinpost/fronts/mqtt.py
@@ -441,6 +441,8 @@
 
     # --- succession ---------------------------------------------------------------------------------
 
+    passes = True  # to another process of this node, once it can
+
     def pack(self) -> tuple[dict[str, Any], list[Link]] | None:
         """What another process needs to carry the session on, and its links, north before south; None where
         it cannot go just now: an answer is owed, or something is half said.
@@ -448,7 +450,8 @@
         exchange, south, link = self.exchange, self.south, self.on
         links: list[Link] = []
         state: dict[str, Any] = {
-            "session": self.session.pack(), "subscriptions": self.subscriptions, "answer": self.answer.hex(),
+            "kind": "mqtt", "session": self.session.pack(), "subscriptions": self.subscriptions,
+            "answer": self.answer.hex(),
             "inbound": self.inbound.pack(), "outbound": self.outbound.pack(), "last_ident": self.last_ident,
             "most": self.receive_maximum, "asked": self.asked[0], "north": link is not None,
         }
--- a/puffinpost/fronts/xmpp.py
+++ b/puffinpost/fronts/xmpp.py
@@ -12,6 +12,7 @@
 import re
 import socket
 from collections.abc import Mapping
+from typing import Any
 
 from puffinpost import interface as api
 from puffinpost import log
@@ -49,6 +50,7 @@
         self.places = places
         self.registry = registry
         self.connections: set[XmppConnection] = set()
+        self.leaving = False
         self.bound: dict[str, XmppSession] = {}
 
     def accept(self, link: Link) -> XmppConnection:
@@ -58,6 +60,20 @@
         self.places.enter(made)
         return made
 
+    def take_over(self, state: dict[str, Any]) -> None:
+        """A session from another process of this node; its client resumes it here.
+
+        Raises ``KeyError``, ``TypeError`` or ``ValueError`` where it cannot be had.
+        """
+        managed = self.registry.restore(state["session"])
+        session = XmppSession(self, None, str(state["bound"]))
+        session.managed, managed.bearer = managed, session
+        if session.bound not in self.bound:
+            self.bound[session.bound] = session
+        now = self.core.clock.now()
+        away_ns = managed.grace_ns - max(0, state["session"]["expires_ns"] - now)
+        self.registry.detach(managed, managed.generation, now - away_ns)
+
     def turn_away(self, connection: socket.socket) -> None:
         """Answers a connection for which there was no descriptor but the spare one."""
         head = xmpp.header({"from": self.config.server.domain, "version": "1.0"})
@@ -108,6 +124,7 @@
         self.session: XmppSession | None = None  # once a resource is bound
         self.generation = 0
         self.greeted = False
+        self._retired = False
 
     # --- what the link tells (Receiver) -------------------------------------------------------------
 
@@ -159,7 +176,7 @@
         self.front.places.rest(self)
 
     def stream_over(self, clean: bool) -> None:
-        self._leave(False, False)
+        self._leave(False, self._retired)
         self.link.close()
 
     def stream_stanza(self, stanza: xmpp.Stanza) -> None:
@@ -213,6 +230,11 @@
 
     # --- within -------------------------------------------------------------------------------------
 
+    def retire(self) -> None:
+        """The process ends and another has its place: the stream ends, and its session waits for a link."""
+        self._retired = True
+        self.stream.fail("system-shutdown")
+
     def replaced(self) -> None:
         """Another connection has this one's session, or its address."""
         self.session = None
@@ -229,13 +251,12 @@
 class XmppSession:
     """What a bound resource has: one message at a time, and with stream management what it is owed."""
 
-    def __init__(self, front: XmppFront, connection: XmppConnection, bound: str) -> None:
+    def __init__(self, front: XmppFront, connection: XmppConnection | None, bound: str) -> None:
         self.front = front
         self.core = front.core
-        self.on: XmppConnection | None = connection
+        self.on = connection
         self.bound = bound
-        self.peer = connection.link.peer
-        self.prefixes = connection.stream.prefixes
+        self.peer = connection.link.peer if connection is not None else ("0.0.0.0", 0)
         self.managed: Session | None = None
         self.exchange: Exchange | None = None
         self.south: TranscriberStream | None = None
@@ -273,7 +294,7 @@
     def linked(self, connection: XmppConnection) -> None:
         """Another connection has resumed the session; its ``resumed`` is written."""
         old, self.on = self.on, connection
-        self.peer, self.prefixes, self._unasked = connection.link.peer, connection.stream.prefixes, 0
+        self.peer, self._unasked = connection.link.peer, 0
         if old is not None:
             old.replaced()
         self.front.places.left(connection)
@@ -301,6 +322,37 @@
             self.front.registry.end(managed)
         self._forget(reset)
 
+    # --- succession ---------------------------------------------------------------------------------
+
+    @property
+    def passes(self) -> bool:
+        """Whether the session can go over to another process at all."""
+        return self.managed is not None and bool(self.managed.digest)
+
+    def pack(self) -> tuple[dict[str, Any], list[Link]] | None:
+        """What another process needs to have the session resumed there; None where it cannot go just now.
+
+        A message that is under way stays: a stream to a transcriber is not worth sending, and it is moved
+        when this process ends. Then the client is sent off, and comes back to the other process.
+        """
+        managed = self.managed
+        if managed is None or not self.passes or self.exchange is not None:
+            return None
+        if self.on is not None:
+            if self.front.leaving:
+                self.on.retire()
+            return None
+        return {"kind": "xmpp", "session": managed.pack(), "bound": self.bound}, []
+
+    def let_go(self) -> None:
+        """Another process has the session."""
+        if self.front.bound.get(self.bound) is self:
+            del self.front.bound[self.bound]
+        assert self.managed is not None
+        self.front.registry.let_go(self.managed)
+
+    # --- endings ------------------------------------------------------------------------------------
+
     def replaced(self) -> None:
         """The client has bound its address anew, and begins afresh."""
         connection, self.on = self.on, None
@@ -463,7 +515,7 @@
 
     def _declared(self) -> Mapping[str, str]:
         """The prefixes that the stream which is read now declares."""
-        return self.on.stream.prefixes if self.on is not None else self.prefixes
+        return self.on.stream.prefixes if self.on is not None else {}
 
     def _message(self, stanza: xmpp.Stanza) -> None:
         exchange = self.exchange
--- a/puffinpost/wiring/leaving.py
+++ b/puffinpost/wiring/leaving.py
@@ -33,8 +33,11 @@
 
 
 async def leave(core: Core, front: PlatformFront, others: Sequence[Leaver], places: Places,
-                listeners: list[Listener], succeeded: Callable[[], bool]) -> None:
-    """Ends all service. ``succeeded``: another process accepts in its place, and is given what stands."""
+                listeners: list[Listener], succeeded: Callable[[], bool],
+                passing: Callable[[], bool]) -> None:
+    """Ends all service. ``succeeded``: another process accepts in its place, and is given what stands.
+    ``passing``: sessions that outlive their links have still to go over to it.
+    """
     longest = max(item.deadline_ns for item in core.settings.classes) / 1e9
     began = time.monotonic()
     end = began + min(longest, MOST_DEADLINE_S) + LAST_ANSWERS_S
@@ -43,7 +46,7 @@
     front.leaving = True
 
     def all_served() -> bool:
-        return succeeded() and not core.exchanges and not places.awaited
+        return succeeded() and not passing() and not core.exchanges and not places.awaited
 
     while time.monotonic() < began + STILL_COMING_S and not all_served():
         await asyncio.sleep(TICK_S)
@@ -65,7 +68,7 @@
         if spent >= span:
             for exchange in core.standing():
                 core.move(exchange)
-            if not core.exchanges and not places.awaited:
+            if not core.exchanges and not places.awaited and not passing():
                 break
         await asyncio.sleep(TICK_S)
     for exchange in list(core.exchanges.values()):
--- a/puffinpost/wiring/node.py
+++ b/puffinpost/wiring/node.py
@@ -28,6 +28,7 @@
 from puffinpost.wiring.succession import Succession
 
 if TYPE_CHECKING:
+    from puffinpost.edge.registry import Registry
     from puffinpost.fronts.mqtt import MqttFront
     from puffinpost.fronts.xmpp import XmppFront
     from puffinpost.net.flows import FlowSink
@@ -82,13 +83,15 @@
         self.xmpp: XmppFront | None = None
         self.mqtt: MqttFront | None = None
         self.flows: FlowSink | None = None
+        self.registry: Registry | None = None
         self._add_parts(told, dialler)
         self.bans = Bans(told.folder, told.name)
         self.console = Console(Operations(self.core, self.bans, self._unready).answer, call_later)
         self.succession = Succession(
             told.folder, told.name, self.core, self.front, self.places, self, told.sockets - told.for_clients,
         )
-        self.succession.devices = self.mqtt
+        self.succession.devices, self.succession.xmpp = self.mqtt, self.xmpp
+        self.succession.registry = self.registry
         self.tasks: set[asyncio.Task[None]] = set()
         self.stop = asyncio.Event()
         self.listening = False
@@ -99,7 +102,7 @@
             from puffinpost.edge.registry import Registry
             from puffinpost.wiring.keeper import Keeper
 
-            registry = Registry(told.resume, self.counters.add)
+            self.registry = registry = Registry(told.resume, self.counters.add)
             Keeper(registry, self.core.clock)
         if told.xmpp is not None:
             from puffinpost.fronts.xmpp import XmppFront
@@ -247,11 +250,11 @@
         if self.config.counts_every_s:
             loop.call_later(self.config.counts_every_s, self._say_counts_again)
         await self.stop.wait()
-        if self.mqtt is not None:
-            self.mqtt.leaving = True
         fronts = [front for front in (self.xmpp, self.mqtt) if front is not None]
+        for front in fronts:
+            front.leaving = True
         await leave(self.core, self.front, fronts, self.places, listeners,
-                    lambda: self.succession.succeeded and not self.succession.owed)
+                    lambda: self.succession.succeeded, lambda: self.succession.passing)
         if self.flows is not None:
             await self.flows.close()
         log.say(f"{self.config.name} ends; counts: {self.counters.text()}")
--- a/puffinpost/wiring/succession.py
+++ b/puffinpost/wiring/succession.py
@@ -27,7 +27,9 @@
 from puffinpost.net.places import Places
 
 if TYPE_CHECKING:
+    from puffinpost.edge.registry import Registry
     from puffinpost.fronts.mqtt import MqttFront
+    from puffinpost.fronts.xmpp import XmppFront
 
 ANSWER_S = 1.0  # a process that does not answer for this long is taken to be stuck, and is not waited for
 TICK_S = 0.02
@@ -57,6 +59,8 @@
         self.owner = owner
         self.own = own  # descriptors that a process needs beside its clients
         self.devices: MqttFront | None = None  # where that front is on
+        self.xmpp: XmppFront | None = None
+        self.registry: Registry | None = None  # of sessions that outlive their link
         self.listeners: list[Listener] = []
         self.successor: Channel | None = None
         self.predecessor: Channel | None = None
@@ -136,6 +140,9 @@
 
     def _take_device(self, state: Message, sockets: list[socket.socket]) -> None:
         """A device's session, with the links that it has: north, south, both or none."""
+        if state["kind"] == "xmpp":
+            self._take_xmpp(state)
+            return
         links = [Link(stream_on(each), self.places if state["north"] and not number else None)
                  for number, each in enumerate(sockets)]
         north = links.pop(0) if state["north"] else None
@@ -158,6 +165,14 @@
         if south is not None and device.south is not None:
             self.owner.run_link(south, device.south)
 
+    def _take_xmpp(self, state: Message) -> None:
+        try:
+            if self.xmpp is None:
+                raise ValueError("no XMPP front is on")
+            self.xmpp.take_over(state)
+        except (KeyError, TypeError, ValueError) as problem:
+            log.say(f"succession: a session over XMPP is not taken over: {problem!r}")
+
     def _predecessor_gone(self) -> None:
         self.predecessor = None
         self.core.foreign.clear()
@@ -173,9 +188,10 @@
         return self.successor is not None
 
     @property
-    def owed(self) -> bool:
-        """Whether devices' sessions are here that have still to go over."""
-        return self.devices is not None and bool(self.devices.registry.sessions)
+    def passing(self) -> bool:
+        """Whether sessions that outlive their links are here and have still to go over."""
+        return self.succeeded and self.registry is not None and any(
+            session.bearer.passes for session in self.registry.sessions.values())
 
     def _came(self, channel: Channel) -> None:
         def came(message: Message, sockets: list[socket.socket]) -> None:
@@ -225,8 +241,8 @@
             if passed == AT_ONCE or channel.closed:
                 break
             passed += self._pass_on(channel, exchange)
-        if self.devices is not None:
-            for session in list(self.devices.registry.sessions.values()):
+        if self.registry is not None:
+            for session in list(self.registry.sessions.values()):
                 if passed == AT_ONCE or channel.closed:
                     break
                 passed += self._pass_device(channel, session.bearer)
@@ -250,7 +266,7 @@
 
 
     def _pass_device(self, channel: Channel, device: Any) -> bool:
-        packed = device.pack() if hasattr(device, "pack") else None
+        packed = device.pack()
         if packed is None:
             return False
         state, links = packed
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -257,7 +257,8 @@
         self.process.send_signal(signal.SIGUSR1)
         self.wait_log("counts: ", before + 1)
         said = self.log.read_text().rsplit("counts: ", 1)[1].split("\n")[0]
-        return {name: int(count) for name, count in (item.split("=") for item in said.split())}
+        items = [item.split("=") for item in said.split() if item != "none"]
+        return {name: int(count) for name, count in items}
 
     def wait_counts(self, name: str, least: int) -> None:
         """Waits until something has been counted so often."""
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -45,6 +45,20 @@
     assert not box.replaying and len(box.acknowledge(5)) == 4 and box.octets == 0
 
 
+def test_what_an_earlier_link_carried_may_be_acknowledged_before_it_is_written_again() -> None:
+    box = box_of(40)
+    box.due(30)
+    box.rewind()
+    assert len(box.due()) == FIRST_WINDOW
+    with pytest.raises(AckError):
+        box.acknowledge(31)
+    assert len(box.acknowledge(25)) == 25
+    box.rewind()
+    other = Outbox.unpack(box.pack())
+    assert len(other.acknowledge(28)) == 3 and other.octets == 12 * (box.octets // 15)
+    assert [entry.number for entry in other.due()] == list(range(29, 41)) and not other.replaying
+
+
 def test_a_link_that_flaps_is_not_given_everything_at_each_return() -> None:
     box = box_of(200)
     box.due()
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -382,6 +382,24 @@
     assert relay.ending() == "end" and front.node.process.wait(WAIT_S) == 0
 
 
+def test_at_qos_0_what_comes_while_away_is_kept_and_an_answer_is_said_again(world: World) -> None:
+    front = MqttWorld(world)
+    phone = front.phone(qos=0)
+    relay = phone.opened(world)
+    phone.publish("up", b"a\nb")
+    phone.until(lambda: bool(phone.topics("fault")))
+    assert phone.topics("fault")[0].startswith(b"153 ")
+    phone.peer.close("reset")
+    front.node.wait_counts("edge_detached", 1)
+    for number in range(5):
+        relay.send(b"down %d\r\n" % number)
+    phone.dial(front.port, username="ada", password=b"lovelace")
+    phone.publish("open", OPEN % 1)
+    phone.until(lambda: len(phone.topics("down")) == 5 and len(phone.topics("answer")) == 2)
+    assert phone.topics("down") == [b"down %d" % number for number in range(5)]
+    assert phone.topics("answer") == [b"UP 7"] * 2 and not asked(world)
+
+
 def test_sigterm_frees_the_transcriber_of_a_device_that_is_away(world: World) -> None:
     front = MqttWorld(world)
     phone = front.phone()
--- a/tests/test_xmpp_managed.py
+++ b/tests/test_xmpp_managed.py
@@ -7,7 +7,7 @@
 
 import pytest
 from conftest import World
-from standins import Peer
+from standins import WAIT_S, Peer
 from test_node import first_of
 from xmpp_standins import BIND, FEATURES, HEADER, SASL, UP, XmppWorld, answer, opening, plain, transcriber
 
@@ -254,3 +254,35 @@
         b"http://jabber.org/protocol/disco#info", b"urn:xmpp:ping", b"urn:puffinpost:session:0"]
     client.send(b"<iq type='get' id='e'><query xmlns='http://jabber.org/protocol/disco#info' node='x'/></iq>")
     assert b"<item-not-found " in client.until(b"</iq>")
+
+
+@pytest.mark.parametrize("away", [False, True])
+def test_an_upgrade_is_told_on_return_and_nothing_owed_is_lost(world: World, away: bool) -> None:
+    """The client resumes at the process that has come: what it had not acknowledged, and the move."""
+    xmpp = XmppWorld(world)
+    client = Managed(xmpp)
+    relay = up(world, client)
+    old = xmpp.node
+    relay.send(b"<message><body>one</body></message>")
+    assert b"<body>one" in client.stanza()
+    client.send(b"<message id='x'><body>there</body></message>")
+    assert client.ask() == 2
+    if away:
+        lose(client)
+        relay.send(b"<message><body>two</body></message>")
+    xmpp.node = world.start(edge=xmpp.edge, beside=old)
+    xmpp.node.ready()
+    old.process.terminate()
+    if not away:
+        relay.send(b"<message><body>two</body></message>")
+        assert b"<body>two" in client.stanza()
+    assert relay.until(b"</stream:stream>") and relay.ending() == "end"
+    if not away:
+        assert b"<move " in client.stanza()
+        assert b"<system-shutdown " in client.peer.until(b"</stream:stream>")
+    xmpp.node.wait_counts("edge_restored", 1)
+    assert old.process.wait(WAIT_S) == 0
+    assert b"<resumed " in client.resume() and client.total == 2
+    if away:
+        assert b"<body>two" in client.stanza() and b"<move " in client.stanza()
+    up(world, client)
--- a/tests/xmpp_standins.py
+++ b/tests/xmpp_standins.py
@@ -54,6 +54,7 @@
             f'{mechanisms}\n{more}'
             f'[xmpp.transcribers]\ndomain = "{SOUTH}"\nport = {port}\n{south}'
         )
+        self.edge = edge
         self.node: Node = world.start(edge=edge, **kinds)
 
     def connect(self, data: bytes = b"") -> Peer:
