An exception under an edge session ends its message with an answer and frees the transcriber

Cause: the XMPP front forgot the message before the core was told, so its relay stood on until the transcriber ended it; the MQTT front ended only the link, and a device that sends the same again on each return would break it each time.

Change: both answer, tell the core, and keep the session for the next message.

--- a/puffinpost/fronts/mqtt.py
+++ b/puffinpost/fronts/mqtt.py
@@ -185,6 +185,8 @@
         self._leave()
 
     def broke(self) -> None:
+        if self.device is not None:
+            self.device.broke()
         self.end(Reason.UNSPECIFIED)
 
     # --- packets ------------------------------------------------------------------------------------
@@ -611,6 +613,18 @@
         if self.answer and self.qos_for(where) == 0:
             self._say_answer(self.answer)
 
+    def broke(self) -> None:
+        """An exception got out: the message ends, with its answer, and the session stays for the next one.
+
+        Guards against a device that sends the same again on each return, and breaks it each time.
+        """
+        exchange = self.exchange
+        if exchange is not None and not exchange.standing:
+            self._say_answer(lines.FAILED)
+        elif exchange is not None:
+            self.tell(BYE, b"LOST")
+        self._end_message()
+
     def _end_message(self) -> None:
         """The device is done with its message."""
         exchange, self.exchange = self.exchange, None
--- a/puffinpost/fronts/xmpp.py
+++ b/puffinpost/fronts/xmpp.py
@@ -571,8 +571,11 @@
         ))
 
     def broke(self) -> None:
-        """An exception got out: what is asked has its answer."""
+        """An exception got out: what is asked has its answer, and the transcriber is let go."""
+        exchange = self.exchange
         self._answer(xmpp.stanza_error("cancel", "internal-server-error"))
+        if exchange is not None:
+            self.core.gone(exchange)
 
     def _answer(self, error: bytes) -> None:
         """The final answer, where the session does not stand; the stream stays for the next one."""
--- a/tests/test_edge_machine.py
+++ b/tests/test_edge_machine.py
@@ -8,6 +8,7 @@
 
 from typing import Any
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
@@ -262,6 +263,27 @@
         assert session.bearer.exchange is None or session.bearer.exchange.standing
 
 
+@pytest.mark.parametrize("stands", [False, True])
+def test_an_exception_ends_one_message_with_its_answer_and_frees_the_transcriber(stands: bool) -> None:
+    machine = EdgeMachine()
+    machine.open()
+    machine.carry(10**6)
+    if stands:
+        machine.answer(b"UP 7\r\n")
+        machine.carry(10**6)
+    link, side = machine.link, machine.side
+    assert link is not None and side is not None and link.device is not None
+    link.broke()  # as a link does whose receiver has raised
+    assert side.relay.over and machine.wire.closed and not machine.stage.core.exchanges
+    machine.connect(False)
+    machine.carry(10**6)
+    assert machine.device.connack is not None and machine.device.connack.present
+    assert machine.answers == {b"1": 1}
+    machine.open()
+    machine.carry(10**6)
+    assert machine.side is not None and machine.side is not side
+
+
 EdgeMachine.TestCase.settings = settings(
     max_examples=120, stateful_step_count=40, derandomize=True, deadline=None, database=None,
 )
