--- a/puffinpost/config/schema.py
+++ b/puffinpost/config/schema.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import re
-import types
 from collections.abc import Iterator
 from typing import Annotated, Any, Literal, get_type_hints
 
@@ -145,7 +144,7 @@
     assert match is not None
     if _UNKNOWN.fullmatch(match["said"]):
         return Fault(f"{path}{key}", "there is no such key")
-    shown = repr(value) if not isinstance(value, types.MappingProxyType | dict) else "a table"
+    shown = repr(value) if not isinstance(value, dict) else "a table"
     where = f"{path}{(match['path'] or key).lstrip('.')}"
     return Fault(where, f"{shown[:80]}: {match['said'][:1].lower()}{match['said'][1:]}")
 
--- a/puffinpost/edge/outbox.py
+++ b/puffinpost/edge/outbox.py
@@ -57,11 +57,6 @@
         """All that is kept, in order."""
         return [*self._out.values(), *self._waiting]
 
-    @property
-    def out(self) -> int:
-        """How many are written on the present link and not acknowledged."""
-        return len(self._out)
-
     @property
     def replaying(self) -> bool:
         """Whether something that an earlier link was given waits to be written again."""
--- a/puffinpost/fronts/mqtt.py
+++ b/puffinpost/fronts/mqtt.py
@@ -252,11 +252,13 @@
         # Where clients name nobody, the identifier alone tells one from another, so it must not be guessed.
         sure = bool(user) or len(packet.client_id) >= SURE_CLIENT_ID or not packet.client_id
         assigned = "" if packet.client_id else secrets.token_urlsafe(18)
-        name = f"mqtt:{user}:{packet.client_id or assigned}" if sure else ""
+        # Its length goes before a user's name: "a:b" with "c" must not be taken for "a" with "b:c".
+        name = f"mqtt:{len(user)}:{user}:{packet.client_id or assigned}" if sure else ""
+        owner = f"mqtt:{user}"
         expiry_s = given.get("session_expiry", 0) if packet.version == mqtt.V5 else (
             0 if packet.clean else 0xFFFFFFFF)
         grace_ns = min(expiry_s * 1000 * MS, registry.limits.grace_ns) if sure else 0
-        old = registry.named(name, user) if name else None
+        old = registry.named(name, owner) if name else None
         present = old is not None and not packet.clean and isinstance(old.bearer, MqttDevice)
         if old is not None and not present:
             # What it has under way is closed before anything new begins.
@@ -264,7 +266,7 @@
             old = None
         try:
             if old is None:
-                old = registry.begin(user, name, grace_ns)
+                old = registry.begin(owner, name, grace_ns)
                 MqttDevice(self.front, old)
         except FullError:
             self._refuse(Reason.QUOTA)
--- a/puffinpost/protocol/mqtt_qos.py
+++ b/puffinpost/protocol/mqtt_qos.py
@@ -141,12 +141,6 @@
         number = self._numbers.get(message)
         return self._sent[number][1] if number is not None else None
 
-    def forget(self, message: int) -> None:
-        """A message that is over without the peer's word."""
-        number = self._numbers.pop(message, None)
-        if number is not None:
-            del self._sent[number]
-
     def pack(self) -> dict[str, Any]:
         """All of it as JSON can hold it."""
         return {"last": self._last, "releasing": self.releasing,
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -263,6 +263,17 @@
     assert fresh.connack is not None and not fresh.connack.present and relay.ending() == "end"
 
 
+def test_names_that_look_alike_when_put_together_are_two(world: World) -> None:
+    front = MqttWorld(world)
+    (world.folder / "users.toml").write_text('ada = "lovelace"\n"ada:b" = "x"\n')
+    other = world.start(edge=front.edge, beside=front.node)
+    other.ready()
+    first = front.phone("b:c")
+    second = Phone("c").dial(front.port, username="ada:b", password=b"x")
+    assert first.connack is not None and second.connack is not None
+    assert (first.connack.code, second.connack.code) == (0, 0)
+
+
 def test_what_cannot_be_a_line_is_refused_and_nothing_is_lost(world: World) -> None:
     front = MqttWorld(world)
     phone = front.phone(qos=1)
