Fleet: a pipe wakes the loop; processes meet on a Unix socket only if the listener is held

Two Unix sockets were on the node's path: asyncio's self-pipe (socket.socketpair, AF_UNIX, made at every start) and the socket in $TMPDIR where a process looks for the one before it and is found by the next (net/channel.py, Hearth and connect, called from wiring/succession.py at every start where TMPDIR is set).

Change: net/loop.py, a SelectorEventLoop whose self-pipe is os.pipe(); wiring/node runs on it. Tests of moving MQTT and XMPP sessions without a held listener say hand_over = "always".

--- a/puffinpost/config/edge.py
+++ b/puffinpost/config/edge.py
@@ -67,6 +67,7 @@
     flows: FlowsConfig | None
     counts_every_s: int
     log_format: str
+    hand_over: str = "inherited"  # where processes of a node meet at an upgrade: see ``schema.Upgrade``
 
 
 def edge_file(environ: Mapping[str, str]) -> Path:
@@ -119,7 +120,7 @@
             sessions_per_user=resume.sessions_per_user, messages=resume.lines, octets=resume.bytes,
             octets_in_all=resume.bytes_in_all, refusals_per_minute=resume.refusals_per_minute,
         ),
-        _flows(edge.ipfix), edge.counters.every_s, edge.log.format,
+        _flows(edge.ipfix), edge.counters.every_s, edge.log.format, edge.upgrade.hand_over,
     )
 
 
--- a/puffinpost/config/node.py
+++ b/puffinpost/config/node.py
@@ -58,6 +58,7 @@
     console: Address | None = None
     folder: str = ""  # what the processes of this node share; empty: nothing
     inherited: int | None = None  # the descriptor of the listening socket, where the platform holds it
+    meeting: str = ""  # the folder where processes of this node meet at an upgrade; empty: each lives alone
 
 
 def flatten(value: Any, path: str = "") -> list[str]:
@@ -149,10 +150,22 @@
         log_format=edge.log_format,
         console=console,
         folder=environ.get("TMPDIR", ""),
-        inherited=_inherited(environ),
+        inherited=(inherited := _inherited(environ)),
+        meeting=meeting(edge.hand_over, environ.get("TMPDIR", ""), inherited),
     )
 
 
+def meeting(hand_over: str, folder: str, inherited: int | None) -> str:
+    """The folder where a process looks for another of its node, and can be found by the next; empty: none.
+
+    Guards against a Unix socket where the platform gives no sign of a second process: a fleet's nodes are
+    restarted one by one, and a filter there may refuse any socket but TCP and UDP over IPv4.
+    """
+    if hand_over == "always" or (hand_over == "inherited" and inherited is not None):
+        return folder
+    return ""
+
+
 def _inherited(environ: Mapping[str, str]) -> int | None:
     """The descriptor of a listening socket that this process was started with."""
     raw = environ.get(INHERITED, "")
--- a/puffinpost/config/schema.py
+++ b/puffinpost/config/schema.py
@@ -94,6 +94,16 @@
     format: Literal["text", "json"] = "text"
 
 
+class Upgrade(Table):
+    """Where two processes of a node may meet at an upgrade, on a Unix socket in ``$TMPDIR``.
+
+    ``inherited``: only where the platform holds the clients' listening socket for both (``GW_INHERITED_FD``);
+    ``always``: wherever there is a ``$TMPDIR``; ``never``: each process lives alone, with no Unix socket.
+    """
+
+    hand_over: Literal["inherited", "always", "never"] = "inherited"
+
+
 class Edge(Table):
     """The whole file."""
 
@@ -103,6 +113,7 @@
     ipfix: Ipfix = msgspec.field(default_factory=Ipfix)
     counters: Counters = msgspec.field(default_factory=Counters)
     log: Log = msgspec.field(default_factory=Log)
+    upgrade: Upgrade = msgspec.field(default_factory=Upgrade)
 
 
 class Fault(ValueError):
--- /dev/null
+++ b/puffinpost/net/loop.py
@@ -0,0 +1,73 @@
+"""The event loop of a node: asyncio's, woken through a pipe in place of a pair of Unix sockets.
+
+asyncio wakes its selector from other threads and from signal handlers by writing a byte to a "self-pipe",
+which on Linux is ``socket.socketpair()``: two ``AF_UNIX`` sockets. A fleet's nodes may run under a filter
+that allows no socket but TCP and UDP over IPv4, so this loop makes the same wake-up of ``os.pipe()``.
+A pipe carries the same bytes with the same blocking rules, and ``signal.set_wakeup_fd`` takes it as well.
+
+The loop overrides four private methods of ``asyncio.selector_events.BaseSelectorEventLoop`` (CPython 3.11
+to 3.13 have them in this form); ``tests/test_fleet_process.py`` proves that no Unix socket is made.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Coroutine
+from typing import Any
+
+
+class PipeEnd:
+    """One end of a pipe, with the few calls of a socket that asyncio makes on its self-pipe."""
+
+    def __init__(self, fd: int) -> None:
+        self.fd = fd
+        os.set_blocking(fd, False)
+
+    def fileno(self) -> int:
+        return self.fd
+
+    def setblocking(self, flag: bool) -> None:
+        os.set_blocking(self.fd, flag)
+
+    def recv(self, size: int) -> bytes:
+        """Raises ``BlockingIOError`` where nothing waits, as a socket's ``recv`` does."""
+        return os.read(self.fd, size)
+
+    def send(self, data: bytes) -> int:
+        """Raises ``BlockingIOError`` where the pipe is full: then the loop is woken already."""
+        return os.write(self.fd, data)
+
+    def close(self) -> None:
+        if self.fd >= 0:
+            fd, self.fd = self.fd, -1
+            os.close(fd)
+
+
+class PipeLoop(asyncio.SelectorEventLoop):
+    """A ``SelectorEventLoop`` whose self-pipe is a pipe: ``asyncio.Runner(loop_factory=PipeLoop)``."""
+
+    _ssock: PipeEnd | None
+    _csock: PipeEnd | None
+
+    def _make_self_pipe(self) -> None:
+        reading, writing = os.pipe()
+        self._ssock, self._csock = PipeEnd(reading), PipeEnd(writing)
+        self._internal_fds += 1  # type: ignore[attr-defined]
+        self._add_reader(reading, self._read_from_self)  # type: ignore[attr-defined]
+
+    def _close_self_pipe(self) -> None:
+        ssock, csock = self._ssock, self._csock
+        if ssock is None or csock is None:
+            return
+        self._remove_reader(ssock.fileno())  # type: ignore[attr-defined]
+        ssock.close()
+        csock.close()
+        self._ssock = self._csock = None
+        self._internal_fds -= 1  # type: ignore[attr-defined]
+
+
+def run(main: Coroutine[Any, Any, None]) -> None:
+    """Runs a coroutine to its end on a ``PipeLoop``, as ``asyncio.run`` does on the default loop."""
+    with asyncio.Runner(loop_factory=PipeLoop) as runner:
+        runner.run(main)
--- a/puffinpost/wiring/node.py
+++ b/puffinpost/wiring/node.py
@@ -20,6 +20,7 @@
 from puffinpost.net.console import Console
 from puffinpost.net.discovery import Watch
 from puffinpost.net.link import Link, Receiver
+from puffinpost.net import loop
 from puffinpost.net.listener import Listener, adopted, bound
 from puffinpost.net.places import Places
 from puffinpost.net.probes import Prober
@@ -88,7 +89,8 @@
         self.bans = Bans(told.folder, told.name)
         self.console = Console(Operations(self.core, self.bans, self._unready).answer, call_later)
         self.succession = Succession(
-            told.folder, told.name, self.core, self.front, self.places, self, told.sockets - told.for_clients,
+            told.meeting, told.name, self.core, self.front, self.places, self,
+            told.sockets - told.for_clients,
         )
         self.succession.devices, self.succession.xmpp = self.mqtt, self.xmpp
         self.succession.registry = self.registry
@@ -269,7 +271,7 @@
 def main() -> int:
     """The exit code of a node's life."""
     try:
-        asyncio.run(_main())
+        loop.run(_main())
     except config.ConfigError as problem:
         print(f"puffinpost: {problem}", file=sys.stderr)
         return 2
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -162,6 +162,8 @@
                     peer.close()
 
 
+# Processes of a node meet at an upgrade even where the platform does not hold their listener.
+MEETING = '[upgrade]\nhand_over = "always"\n'
 WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
 _ports = itertools.cycle(range(12_000 + 1000 * WORKER, 13_000 + 1000 * WORKER))
 
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -19,7 +19,7 @@
 from paho.mqtt.enums import CallbackAPIVersion
 from paho.mqtt.packettypes import PacketTypes
 from paho.mqtt.properties import Properties
-from standins import ROOT, WAIT_S, Node, Peer, free_port
+from standins import MEETING, ROOT, WAIT_S, Node, Peer, free_port
 from test_node import first_of
 from xmpp_standins import CERTIFICATE, KEY
 
@@ -108,7 +108,7 @@
         self.port = free_port()
         (world.folder / "users.toml").write_text('ada = "lovelace"\neve = "x"\n')
         users = f'users = "{world.folder / "users.toml"}"'
-        edge = f'[mqtt]\nlisten = "127.0.0.1:{self.port}"\n{users}\n{more}\n[resume]\n{resume}\n'
+        edge = f'{MEETING}[mqtt]\nlisten = "127.0.0.1:{self.port}"\n{users}\n{more}\n[resume]\n{resume}\n'
         self.edge = edge
         self.node: Node = world.start(edge=edge, **kinds)
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -8,7 +8,7 @@
 
 import pytest
 from conftest import World
-from standins import SETTINGS, WAIT_S, Node, Peer, free_port
+from standins import MEETING, SETTINGS, WAIT_S, Node, Peer, free_port
 from test_node import OPEN, first_of, fresh, served
 from world import PLAIN, Driver, line
 
@@ -41,13 +41,13 @@
 @pytest.mark.parametrize("platform_holds", [True, False])
 def test_sessions_go_over_between_two_bytes(world: World, held: socket.socket, platform_holds: bool) -> None:
     shared = held if platform_holds else None
-    old = world.start(inherited=shared)
+    old = world.start(inherited=shared, edge="" if platform_holds else MEETING)
     pairs = stand(world, old, 4)
     speak(pairs, b"before")
     for client, relay in pairs:  # half a line, both ways
         client.send(b"half a ")
         relay.send(b"LOAD 4")
-    new = world.start(inherited=shared, beside=old)
+    new = world.start(inherited=shared, beside=old, edge="" if platform_holds else MEETING)
     new.ready()
     new.figure("open_requests", 4)
     old.figure("open_requests", 0)
@@ -182,7 +182,7 @@
 
 def test_with_xmpp_the_second_address_goes_over_as_well(world: World) -> None:
     port = free_port()
-    edge = f'[xmpp]\nlisten = "127.0.0.1:{port}"\nmechanisms = ["ANONYMOUS"]\n'
+    edge = f'{MEETING}[xmpp]\nlisten = "127.0.0.1:{port}"\nmechanisms = ["ANONYMOUS"]\n'
     old = world.start(edge=edge)
     new = world.start(edge=edge, beside=old)
     new.ready()
--- a/tests/xmpp_standins.py
+++ b/tests/xmpp_standins.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from conftest import World
-from standins import Node, Peer, Server, free_port
+from standins import MEETING, Node, Peer, Server, free_port
 
 DATA = Path(__file__).parent / "data"
 CERTIFICATE, KEY = DATA / "certificate.pem", DATA / "key.pem"
@@ -49,6 +49,7 @@
             f'password_file = "{world.folder / "password"}"\n' if south_tls else ""
         )
         edge = (
+            f'{MEETING}'
             f'[xmpp]\nlisten = "127.0.0.1:{self.port}"\ndomain = "{DOMAIN}"\ncertificate = "{CERTIFICATE}"\n'
             f'key = "{KEY}"\nca = "{CERTIFICATE}"\nusers = "{world.folder / "users.toml"}"\n'
             f'{mechanisms}\n{more}'
