Fleet: a test proves the process that run starts is one, of TCP over IPv4 alone

The live process's socket inodes are checked against /proc/net/unix. An idle node's CPU is measured against the wall clock; the pipe is shown to wake the loop from a thread and a signal.

Idle node: under 0.2 of a core asserted.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -190,10 +190,11 @@
 
     def __init__(self, folder: Path, discovery: Discovery, settings: dict[str, Any] | None = None,
                  edge: str = "", sockets: int = 1024, inherited: socket.socket | None = None,
-                 beside: Node | None = None, waits: bool = True) -> None:
+                 beside: Node | None = None, waits: bool = True, run: str = "",
+                 environ_more: dict[str, str] | None = None) -> None:
         self.port, self.console, self.folder = free_port(), free_port(), folder
         environ = {**os.environ, "GW_CONSOLE": f"127.0.0.1:{self.console}",
-                   "TMPDIR": str(folder)}
+                   "TMPDIR": str(folder), **(environ_more or {})}
         if beside is not None:
             self.port = beside.port
         if inherited is not None:
@@ -208,8 +209,9 @@
         (folder / "edge.toml").write_text(edge)
         self.log = folder / f"log-{self.console}"
         with self.log.open("wb") as log:
+            # With ``run``, the command is started as the platform starts it: by /bin/sh -c, from the root.
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "puffinpost"], cwd=ROOT, stderr=log,
+                ["/bin/sh", "-c", run] if run else [sys.executable, "-m", "puffinpost"], cwd=ROOT, stderr=log,
                 pass_fds=() if inherited is None else (inherited.fileno(),),
                 env={**environ, "GW_CONFIG": str(folder / "config.json"),
                      "GW_DISCOVERY": discovery.server.address, "GW_EDGE": str(folder / "edge.toml")},
--- /dev/null
+++ b/tests/test_fleet_process.py
@@ -0,0 +1,120 @@
+"""What the fleet's days ask of the process that ``run`` starts, proved on a short day on loopback.
+
+The days (issue 17) refuse fork, other programs, io_uring, splice and sendfile, allow TCP and UDP over IPv4
+alone, want one process that ``run`` ends in by ``exec``, linked against the C library, and count a thread
+that neither waits nor ends for 20 s as a crash. Python's audit hooks record what the node makes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import threading
+import time
+import tomllib
+from pathlib import Path
+
+from conftest import World
+from standins import ROOT, WAIT_S, Node, Peer
+
+from puffinpost.config.node import meeting
+from puffinpost.net.loop import PipeLoop
+
+OPEN = b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=live-text,d=3000,g=5c0f6e1a2b3d4c59\r\n"
+RUN = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+
+
+def _audited(world: World, tmp_path: Path) -> tuple[Node, Path]:
+    records = tmp_path / "audit.jsonl"
+    node = world.start(run=RUN, environ_more={
+        "PYTHONPATH": str(ROOT / "tests" / "data" / "fleet_audit"), "PUFFINPOST_AUDIT": str(records)})
+    return node, records
+
+
+def _socket_inodes(pid: int) -> set[str]:
+    links = (os.readlink(f"/proc/{pid}/fd/{fd}") for fd in os.listdir(f"/proc/{pid}/fd"))
+    return {link[8:-1] for link in links if link.startswith("socket:[")}
+
+
+def _unix_inodes() -> set[str]:
+    rows = Path("/proc/net/unix").read_text().splitlines()[1:]
+    return {row.split()[6] for row in rows if len(row.split()) > 6}
+
+
+def _cpu_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def _serve_one(world: World, node: Node) -> None:
+    client = node.client(OPEN)
+    ready = [server for server in world.servers if server.asked()] or world.servers
+    relay: Peer = ready[0].accept()
+    assert relay.line().startswith(b"OPEN ")
+    relay.send(b"UP 77\r\n")
+    assert client.line() == b"UP 77\r\n"
+    relay.send(b"DONE\r\n")
+    client.close()
+
+
+def test_run_is_one_process_of_tcp_over_ipv4_alone(world: World, tmp_path: Path) -> None:
+    node, records = _audited(world, tmp_path)
+    pid = node.process.pid
+    # `exec`: the shell that the platform starts has become the node, and has no child.
+    assert "python" in os.path.basename(os.readlink(f"/proc/{pid}/exe"))
+    assert all(not Path(f"/proc/{pid}/task/{task}/children").read_text().split()
+               for task in os.listdir(f"/proc/{pid}/task"))
+    assert "libc.so" in Path(f"/proc/{pid}/maps").read_text()  # linked dynamically against the C library
+    _serve_one(world, node)
+    node.reload()
+    _serve_one(world, node)
+    assert not _socket_inodes(pid) & _unix_inodes()  # no Unix socket is held, whoever made it
+    assert not list(node.folder.glob("*.sock"))  # nor bound in $TMPDIR: no process is beside it
+    assert node.stop() == 0
+    told = [json.loads(line) for line in records.read_text().splitlines()]
+    assert told, "the audit hook was not loaded"
+    families = {record["family"] for record in told if record["what"] == "socket"}
+    assert families == {int(socket.AF_INET)}
+    assert not [record for record in told if record["what"] in ("start", "refused")]
+
+
+def test_an_idle_node_waits_and_does_not_spin(world: World, tmp_path: Path) -> None:
+    node, _ = _audited(world, tmp_path)
+    node.ready()
+    before, began = _cpu_s(node.process.pid), time.monotonic()
+    time.sleep(1.5)  # timers are pending all along: the bans file, the watch of discovery, the places
+    share = (_cpu_s(node.process.pid) - before) / (time.monotonic() - began)
+    assert share < 0.2, f"an idle node used {share:.0%} of a core"
+    assert node.stop() == 0
+
+
+def test_processes_meet_only_where_told_or_where_the_listener_is_held() -> None:
+    assert meeting("inherited", "/tmp/n", None) == ""
+    assert meeting("inherited", "/tmp/n", 5) == "/tmp/n"
+    assert meeting("always", "/tmp/n", None) == "/tmp/n"
+    assert meeting("never", "/tmp/n", 5) == ""
+    assert meeting("always", "", None) == ""
+
+
+def test_the_pipe_wakes_the_loop_from_a_thread_and_from_a_signal() -> None:
+    async def woken() -> list[str]:
+        loop, seen = asyncio.get_running_loop(), []
+        done = loop.create_future()
+        loop.add_signal_handler(signal.SIGUSR2, lambda: seen.append("signal"))
+        # The loop sleeps in its selector for up to an hour here; only the pipe can wake it in time.
+        loop.call_later(3600, lambda: None)
+        threading.Thread(target=lambda: loop.call_soon_threadsafe(done.set_result, "thread")).start()
+        seen.append(await asyncio.wait_for(done, WAIT_S))
+        os.kill(os.getpid(), signal.SIGUSR2)
+        until = loop.time() + WAIT_S
+        while "signal" not in seen and loop.time() < until:
+            await asyncio.sleep(0.01)
+        loop.remove_signal_handler(signal.SIGUSR2)
+        return seen
+
+    with asyncio.Runner(loop_factory=PipeLoop) as runner:
+        assert runner.run(woken()) == ["thread", "signal"]
+        assert isinstance(runner.get_loop(), PipeLoop)
