A trace of each message through the decisions, by its id, for operators to follow

Change: [log] trace = true in the operator's file (off by default) has the core write one line for each event and action about a message: its number, its client's id in hex, the transcriber's name, the fields. Lines of the trace are never dropped by the second's share. An id is kept for the last outcome after the answer, 4,096 at most.

--- a/puffinpost/config/edge.py
+++ b/puffinpost/config/edge.py
@@ -68,6 +68,7 @@
     counts_every_s: int
     log_format: str
     hand_over: str = "inherited"  # where processes of a node meet at an upgrade: see ``schema.Upgrade``
+    trace: bool = False  # of each message, through the decisions
 
 
 def edge_file(environ: Mapping[str, str]) -> Path:
@@ -121,6 +122,7 @@
             octets_in_all=resume.bytes_in_all, refusals_per_minute=resume.refusals_per_minute,
         ),
         _flows(edge.ipfix), edge.counters.every_s, edge.log.format, edge.upgrade.hand_over,
+        edge.log.trace,
     )
 
 
--- a/puffinpost/config/node.py
+++ b/puffinpost/config/node.py
@@ -58,6 +58,7 @@
     console: Address | None = None
     folder: str = ""  # what the processes of this node share; empty: nothing
     inherited: int | None = None  # the descriptor of the listening socket, where the platform holds it
+    trace: bool = False  # each message's way through the decisions, in the log
     meeting: str = ""  # the folder where processes of this node meet at an upgrade; empty: each lives alone
 
 
@@ -148,6 +149,7 @@
         flows=edge.flows,
         counts_every_s=edge.counts_every_s,
         log_format=edge.log_format,
+        trace=edge.trace,
         console=console,
         folder=environ.get("TMPDIR", ""),
         inherited=(inherited := _inherited(environ)),
--- a/puffinpost/config/schema.py
+++ b/puffinpost/config/schema.py
@@ -92,6 +92,7 @@
     """How lines of the log look."""
 
     format: Literal["text", "json"] = "text"
+    trace: bool = False  # a line for each event and action about a message, beyond the second's share
 
 
 class Upgrade(Table):
--- a/puffinpost/core.py
+++ b/puffinpost/core.py
@@ -103,6 +103,9 @@
     ident: int | None = None  # the client's id for it, where its protocol has one
 
 
+TRACED = 4096  # messages whose ids the trace keeps after their answer, for their last outcomes
+
+
 class Relay:
     """One attempt at one transcriber."""
 
@@ -186,6 +189,8 @@
         self._events: deque[Callable[[], api.Event]] = deque()
         self._busy = False
         self._noted: dict[api.ServerId, int] = {}  # slow transcribers, and when that was last noted
+        self.trace: Callable[[str], None] | None = None  # told of each event and action about a message
+        self._idents: dict[int, int] = {}  # the traced messages' ids, by their numbers, until they are over
         clock.call_later(SWEEP_NS, self._sweep)
 
     # --- settings -----------------------------------------------------------------------------------
@@ -494,7 +499,9 @@
             while self._events:
                 made = self._events.popleft()()
                 try:
+                    self._traced(made)
                     for action in self.balancer.handle(made, self.clock.now()):
+                        self._traced(action)
                         self._act(action)
                 except Exception:
                     self._spoilt(made)
@@ -513,6 +520,27 @@
             # The decisions run on a timer that they set again each time it is due.
             self.clock.call_later(SWEEP_NS, lambda: self._give(lambda: event))
 
+    def _traced(self, what: api.Event | api.Action) -> None:
+        """A line of the trace: ``n`` numbers a message in this process, ``id`` is its client's, in hex."""
+        request = getattr(what, "request", None)
+        if self.trace is None or request is None:
+            return
+        number = request if isinstance(request, int) else request.request  # an event may hold a Request
+        exchange = self.exchanges.get(number)
+        if exchange is not None and exchange.message.ident is not None:
+            self._idents[number] = exchange.message.ident
+            while len(self._idents) > TRACED:  # guards against messages that end without a last word
+                del self._idents[next(iter(self._idents))]
+        ident = self._idents.get(number)
+        if getattr(what, "finished", False):
+            self._idents.pop(number, None)
+        fields = " ".join(f"{name}={_plain(getattr(what, name))}" for name in what.__slots__
+                          if name != "request")
+        server = getattr(what, "server", None)
+        named = f" at={self.inventory.name(server)}" if isinstance(server, int) else ""
+        self.trace(f"trace n={number} id={'-' if ident is None else f'{ident:016x}'} {type(what).__name__}"
+                   f"{named} {fields}")
+
     def _act(self, action: api.Action) -> None:
         match action:
             case api.Timer(after, token):
@@ -634,3 +662,11 @@
             if exchange.sent and not exchange.held and now - exchange.sent[0] > SILENT_NS:
                 self.counters.add("silent")
                 self.move(exchange, api.Result.TIMEOUT)
+
+
+def _plain(value: object) -> str:
+    """A field of the trace, short: enums by name, requests by their number."""
+    if isinstance(value, api.Request):
+        return str(value.request)
+    name = getattr(value, "name", None)
+    return name if isinstance(name, str) else str(value)
--- a/puffinpost/log/__init__.py
+++ b/puffinpost/log/__init__.py
@@ -103,6 +103,11 @@
         _write({"event": text, OFTEN: often, **fields})
 
 
+def trace(text: str) -> None:
+    """A line of a message's trace: never dropped, for it is on only where an operator asks for it."""
+    _Stderr().msg(f"puffinpost: {text}")
+
+
 def say_exception(where: str) -> None:
     """The exception that is being handled."""
     say(f"{where}: {traceback.format_exc(limit=-4)}")
--- a/puffinpost/wiring/node.py
+++ b/puffinpost/wiring/node.py
@@ -77,6 +77,8 @@
         self.watch = Watch(
             told.discovery, lambda: self.inventory.index, self._told, self.core.inventory_failed
         )
+        if told.trace:
+            self.core.trace = log.trace
         dialler = Dialler(self.core)
         call_later = asyncio.get_running_loop().call_later
         self.places = Places(told.for_clients, self.counters, call_later)
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -118,3 +118,21 @@
     with asyncio.Runner(loop_factory=PipeLoop) as runner:
         assert runner.run(woken()) == ["thread", "signal"]
         assert isinstance(runner.get_loop(), PipeLoop)
+
+
+def test_a_trace_follows_one_message_by_its_id(world: World) -> None:
+    node = world.start(edge="[log]\ntrace = true\n")
+    _serve_one(world, node)
+    node.wait_log("Outcome", 1)
+    lines = [line for line in node.log.read_text().splitlines() if "trace n=" in line]
+    ours = [line.split()[4] for line in lines if "id=9b1f03aa5c7e2d41" in line]
+    assert ours[:3] == ["Request", "Send", "Established"], lines
+    assert "Outcome" in ours and "Outcome" in lines[-1], lines  # its id is known to its last outcome
+    assert node.stop() == 0
+
+
+def test_without_a_trace_nothing_of_it_is_said(world: World) -> None:
+    node = world.start()
+    _serve_one(world, node)
+    assert node.stop() == 0
+    assert "trace n=" not in node.log.read_text()
