The trace shows the list as the decisions are given it, each transcriber's status and start

Change: with [log] trace on, each server list given to the decisions is one line: its kind, and name=STATUS@start-ms for each line.

--- a/puffinpost/core.py
+++ b/puffinpost/core.py
@@ -523,7 +523,11 @@
     def _traced(self, what: api.Event | api.Action) -> None:
         """A line of the trace: ``n`` numbers a message in this process, ``id`` is its client's, in hex."""
         request = getattr(what, "request", None)
-        if self.trace is None or request is None:
+        if self.trace is None:
+            return
+        if isinstance(what, api.ServerList):
+            self._trace_list(what)
+        if request is None:
             return
         number = request if isinstance(request, int) else request.request  # an event may hold a Request
         exchange = self.exchanges.get(number)
@@ -541,6 +545,14 @@
         self.trace(f"trace n={number} id={'-' if ident is None else f'{ident:016x}'} {type(what).__name__}"
                    f"{named} {fields}")
 
+    def _trace_list(self, told: api.ServerList) -> None:
+        """The list as the decisions are given it: each transcriber's name, status and start, in ms."""
+        assert self.trace is not None
+        name = self.inventory.name
+        lines = " ".join(f"{name(line.server)}={line.status.name}@{line.started_ns // 1_000_000}"
+                         for line in told.lines)
+        self.trace(f"trace list {told.kind.name} {lines}")
+
     def _act(self, action: api.Action) -> None:
         match action:
             case api.Timer(after, token):
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -128,6 +128,8 @@
     ours = [line.split()[4] for line in lines if "id=9b1f03aa5c7e2d41" in line]
     assert ours[:3] == ["Request", "Send", "Established"], lines
     assert "Outcome" in ours and "Outcome" in lines[-1], lines  # its id is known to its last outcome
+    listed = [line for line in node.log.read_text().splitlines() if "trace list" in line]
+    assert listed and "s-0=READY@" in listed[0], listed  # the list as the decisions were given it
     assert node.stop() == 0
 
 
