--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -969,20 +969,17 @@
         """Moves connections off servers that drain or are banned.
 
         Guards against connections that are cut off when such a server stops. They are spread over a while:
-        all at once they would be set up anew all at once. Each goes at a tick with the chance of one tick in
-        what is left of the while, so each one's moment is even over it. A count rounded up at each tick would
-        move the first of each server's connections at once, and a fleet whose nodes hold a few each would
-        move nearly all together: the herd that a drain set off on the fleet's days.
+        all at once they would be set up anew all at once.
         """
         for server in self.servers.values():
             leaves = (server.down and server.listed) or server.id in self.banned
             if not (leaves and server.own):
                 continue
-            share = self.tick_ns / max(self.tick_ns, server.leave_ns - self.now)
-            for flow in server.own.values():
-                if flow.standing and not flow.over and self.chance.random() < share:
-                    flow.over = True
-                    self.actions.append(Move(flow.request))
+            standing = [flow for flow in server.own.values() if flow.standing and not flow.over]
+            left = max(self.tick_ns, server.leave_ns - self.now)
+            for flow in standing[:math.ceil(len(standing) * self.tick_ns / left)]:
+                flow.over = True
+                self.actions.append(Move(flow.request))
 
     # --- list following -----------------------------------------------------------------------------
 
