--- a/puffinpost/core.py
+++ b/puffinpost/core.py
@@ -393,6 +393,12 @@
             self.counters.add("load_notes")
             self._give(lambda: api.LoadNote(relay.exchange.number, int(us_per_s * 1000)))
 
+    def delay(self, relay: Relay, ms: float) -> None:
+        """The transcriber tells how long a message takes there now."""
+        if not relay.over and relay.exchange.standing:
+            self.counters.add("delay_notes")
+            self._give(lambda: api.DelayNote(relay.exchange.number, relay.server, int(ms * MS)))
+
     def line_south(self, relay: Relay, size: int, echo: bool) -> None:
         """A line came back and goes on. An echo answers the oldest line out; a slow one is noted."""
         exchange = relay.exchange
--- a/puffinpost/fronts/transcriber.py
+++ b/puffinpost/fronts/transcriber.py
@@ -9,6 +9,7 @@
 from puffinpost.core import Core, Relay
 from puffinpost.net.link import Link
 from puffinpost.protocol import lines
+from puffinpost.protocol.notes import LoadLines
 
 
 class LineNorth(Protocol):
@@ -36,6 +37,7 @@
         self.opening = opening
         self.link: Link | None = None
         self.splitter = lines.LineSplitter()
+        self.notes = LoadLines()
         self.last = lines.Word.OTHER
 
     @classmethod
@@ -93,9 +95,13 @@
     def _standing(self, line: bytes) -> None:
         word = lines.word_of(line)
         if word is lines.Word.LOAD:
-            load = lines.load_of(line)
-            if load is not None:
-                self.core.load(self.relay, load)
+            told = lines.load_of(line)
+            if told is None:
+                pass
+            elif self.notes.is_delay(told, self.core.clock.now() / 1e9):
+                self.core.delay(self.relay, told)
+            else:
+                self.core.load(self.relay, told)
         elif word in (lines.Word.BYE, lines.Word.MOVE):
             self.last = word
         if not self.relay.over:
--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -15,6 +15,7 @@
 import math
 import random
 
+from puffinpost.decisions.delays import Delay
 from puffinpost.interface import (
     NEVER_RAN, Action, Banned, Cancel, ClientGone, DelayNote, Effect, Established, Event, Fail, Inherited,
     ListKind, LoadNote, Log, Memory, Move, Outcome, Probe, ProbeResult, Refuse, Request, RequestClass,
@@ -85,8 +86,8 @@
     """What this balancer knows of one server."""
 
     __slots__ = (
-        "aside_until", "budget", "budget_ns", "cell", "cold_ns", "down", "faults", "fills", "groups", "held",
-        "id", "kind", "lot", "leave_ns", "listed", "load", "load_ns", "moved_load", "moved_ns", "own",
+        "aside_until", "budget", "budget_ns", "cell", "cold_ns", "delay", "down", "faults", "fills", "groups",
+        "held", "id", "kind", "lot", "leave_ns", "listed", "load", "load_ns", "moved_load", "moved_ns", "own",
         "own_load", "placements", "probe_out", "probed_ns", "salt", "started_ns", "trusted_ns", "watchers",
         "weight", "zone",
     )
@@ -106,6 +107,7 @@
         self.load_ns = 0
         self.held = 0.0  # connections that it reported last
         self.fills = 0.0  # connections that fill it, as its reports tell; 0: not known
+        self.delay = Delay()
         self.lot = 0.5  # drawn at each report: rounds this balancer's share of the room left
         self.leave_ns = 0  # by when its connections are moved away, once it drains
         self.moved_ns = 0  # no further moves before this
@@ -197,6 +199,9 @@
         """Settings come into force, at the start or later. A request keeps the class that it came under."""
         self.settings = settings
         self.aim_ns = min(item.aim_ns for item in settings.classes)
+        self.message_aim_ns = min(
+            (item.message_aim_ns for item in settings.classes if item.message_aim_ns > 0), default=0
+        )
         self.tick_ns = max(settings.round_ns, self.aim_ns // TICKS_PER_AIM)
         self.can_probe = settings.probes and len(settings.report_fields) > 0
         self.load_field = self._field(settings.report_fields, "x0", "load_share")
@@ -313,6 +318,7 @@
             server.fills = 0.0
         server.load, server.held, server.faults, server.aside_until = None, 0.0, 0, 0
         server.placements.clear()
+        server.delay.clear()
         server.cold_ns, server.budget, server.budget_ns = since_ns, budget, self.now
 
     def _on_banned(self, event: Banned) -> None:
@@ -628,6 +634,8 @@
         Where the fleet has no room, every balancer has clients waiting, and what reports a little room would
         be flooded by all at once: then each takes its own share of that room only, rounded by chance.
         """
+        if server.delay.misses(flow.klass.message_aim_ns, self.now):
+            return False
         untold = len(server.own) * self.spread - server.held
         unknown = not server.fills and not self._is_cold(server)  # a cold one has its budget
         if unknown and 2 * self.learned > len(self.servers) and untold >= UNKNOWN_MOST:
@@ -674,10 +682,17 @@
         server.aside_until = 0
 
     def _on_delay_note(self, event: DelayNote) -> None:
-        """Messages take long at a server: its report is asked for first."""
+        """Messages take long at a server. Where they miss their aim, its report is asked for first, and what
+        is too much for it moves away. Guards against a server gone slow that a thin traffic seldom probes.
+        """
         server = self.servers.get(event.server)
-        if server is not None and self.can_probe and self._may_probe(server):
-            self._probe(server)
+        if server is None:
+            return
+        server.delay.note(event.delay_ns, self.now)
+        if server.delay.misses(self.message_aim_ns, self.now):
+            if self.can_probe and self._may_probe(server):
+                self._probe(server)
+            self._shed(server, server.delay.excess(DRAINED, int(CATCH_UP_AIMS * self.aim_ns)))
 
     # --- request life cycle: attempts, deadlines, effect kinds, final answer ------------------------
 
@@ -953,17 +968,24 @@
             goal = DRAINED
         else:
             return
-        wanted = server.own_load * (1.0 - goal / server.load)
+        self._shed(server, 1.0 - goal / server.load)
+        server.moved_ns = self.now + int(CATCH_UP_AIMS * self.aim_ns)
+        server.trusted_ns = self.now + int(LATE_AIMS * self.aim_ns)
+        server.moved_load = server.load
+
+    def _shed(self, server: Server, part: float) -> None:
+        """Moves this part of this balancer's own load on a server, rounded by chance: all do the same."""
+        wanted = server.own_load * part
+        if wanted <= 0.0 or self._off(server):
+            return
         standing = [flow for flow in server.own.values() if flow.standing and not flow.over]
         self.chance.shuffle(standing)
         for flow in standing:
             if wanted < flow.estimate * self.chance.random():
                 break
             wanted -= flow.estimate
+            flow.over = True
             self.actions.append(Move(flow.request))
-        server.moved_ns = self.now + int(CATCH_UP_AIMS * self.aim_ns)
-        server.trusted_ns = self.now + int(LATE_AIMS * self.aim_ns)
-        server.moved_load = server.load
 
     def _leave_drained(self) -> None:
         """Moves connections off servers that drain or are banned.
