--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -16,6 +16,7 @@
 import random
 
 from puffinpost.decisions.delays import Delay
+from puffinpost.decisions.leaving import leaving_chance, stands_ns
 from puffinpost.interface import (
     NEVER_RAN, Action, Banned, Cancel, ClientGone, DelayNote, Effect, Established, Event, Fail, Inherited,
     ListKind, LoadNote, Log, Memory, Move, Outcome, Probe, ProbeResult, Refuse, Request, RequestClass,
@@ -52,7 +53,7 @@
 EASED = 0.6  # ... this where the mean is lower: no more moves than are of use
 SHOWN = 0.85  # a report under this part of the one that was answered shows that moves have worked
 LATE_AIMS = 12.0  # a report that does not show them is taken to be late for this many aims
-LEAVE_AIMS = 3.0  # a draining server's connections are moved away over this many aims
+LEAVE_AIMS = 3.0  # a banned server's connections are moved away over this many aims
 MEAN_AIMS = 4.0  # a report's weight in the fleet's mean load halves with this age
 SURVEY_AIMS = 0.5  # the fleet is summed up this often; it changes no faster than reports come
 SURVEY_GROWTH = 1.25  # or when this balancer's own load has grown by this: at the start it grows fast
@@ -109,7 +110,7 @@
         self.fills = 0.0  # connections that fill it, as its reports tell; 0: not known
         self.delay = Delay()
         self.lot = 0.5  # drawn at each report: rounds this balancer's share of the room left
-        self.leave_ns = 0  # by when its connections are moved away, once it drains
+        self.leave_ns = 0  # by when its connections are moved away, once it drains or is banned
         self.moved_ns = 0  # no further moves before this
         self.trusted_ns = 0  # nor before this on a report as high as ...
         self.moved_load = 0.0  # ... the one that the last move answered
@@ -199,6 +200,7 @@
         """Settings come into force, at the start or later. A request keeps the class that it came under."""
         self.settings = settings
         self.aim_ns = min(item.aim_ns for item in settings.classes)
+        self.stands_ns = stands_ns([item.deadline_ns for item in settings.classes])
         self.message_aim_ns = min(
             (item.message_aim_ns for item in settings.classes if item.message_aim_ns > 0), default=0
         )
@@ -286,7 +288,7 @@
                 known = self.servers[line.server] = Server(line)
             if line.status is not Status.READY:
                 if not known.down:
-                    known.leave_ns = self.now + int(LEAVE_AIMS * self.aim_ns)
+                    self._leave_within(known, self.stands_ns)
                 self._take_down(known)
                 known.listed = line.status is Status.DRAINING
             else:
@@ -330,11 +332,11 @@
         """
         server = self.servers.get(event.server)
         if event.banned:
+            if server is not None and event.server not in self.banned:
+                self._leave_within(server, int(LEAVE_AIMS * self.aim_ns))
             self.banned.setdefault(event.server, event.since_ns)
             if event.server in self.called:
                 self.called.remove(event.server)
-            if server is not None:
-                server.leave_ns = self.now + int(LEAVE_AIMS * self.aim_ns)
             return
         since = self.banned.pop(event.server, None)
         if since is None or server is None:
@@ -987,19 +989,29 @@
             flow.over = True
             self.actions.append(Move(flow.request))
 
+    def _leave_within(self, server: Server, span_ns: int) -> None:
+        """A server drains or is banned now: its connections go within this, or sooner where that was said."""
+        by_ns = self.now + span_ns
+        server.leave_ns = min(server.leave_ns, by_ns) if self._off(server) else by_ns
+
     def _leave_drained(self) -> None:
         """Moves connections off servers that drain or are banned.
 
         Guards against connections that are cut off when such a server stops. They are spread over a while:
-        all at once they would be set up anew all at once.
+        all at once they would be set up anew all at once. Off one that is banned they go sooner, and a share
+        rounded up at each tick: operators wait to restart it.
         """
         for server in self.servers.values():
-            leaves = (server.down and server.listed) or server.id in self.banned
-            if not (leaves and server.own):
+            banned = server.id in self.banned
+            if not (server.own and (banned or (server.down and server.listed))):
                 continue
             standing = [flow for flow in server.own.values() if flow.standing and not flow.over]
-            left = max(self.tick_ns, server.leave_ns - self.now)
-            for flow in standing[:math.ceil(len(standing) * self.tick_ns / left)]:
+            chance = leaving_chance(server.leave_ns - self.now, self.tick_ns)
+            if banned:
+                standing = standing[:math.ceil(len(standing) * chance)]
+            else:
+                standing = [flow for flow in standing if self.chance.random() < chance]
+            for flow in standing:
                 flow.over = True
                 self.actions.append(Move(flow.request))
 
