--- a/puffinpost/core.py
+++ b/puffinpost/core.py
@@ -30,6 +30,8 @@
 # for this long is given up, which leaves room for a slow one and for the next line to be lost too.
 SILENT_NS = 4500 * MS
 SWEEP_NS = 250 * MS
+# A line comes back at once from a transcriber that runs: one owed for two dial time-outs is worth a probe.
+OWED_DIALS = 2
 DELAY_NOTE_NS = 1000 * MS
 MOST_ECHOES = 64
 # A client that names a longer wait than this is taken to be wrong: no class of ours waits for minutes.
@@ -131,7 +133,7 @@
 
     __slots__ = (
         "answered", "at", "came_ns", "deadline_ns", "guard", "held", "inherited", "klass", "message", "north",
-        "number", "octets_north", "octets_south", "relay", "relays", "sent", "standing", "up_ns",
+        "number", "octets_north", "owed", "octets_south", "relay", "relays", "sent", "standing", "up_ns",
     )
 
     def __init__(self, number: int, message: Message, klass: api.RequestClass, north: North,
@@ -153,6 +155,7 @@
         self.held = False  # its transcriber is not read for now, since its client does not read
         self.up_ns = 0
         self.guard: Any = None
+        self.owed = 0  # the line of this time is known to be owed
         self.sent: deque[int] = deque(maxlen=MOST_ECHOES)  # when the lines went that are not echoed yet
 
 
@@ -677,9 +680,21 @@
         self.clock.call_later(SWEEP_NS, self._sweep)
         now = self.clock.now()
         for exchange in self.standing():
-            if exchange.sent and not exchange.held and now - exchange.sent[0] > SILENT_NS:
+            if not exchange.sent or exchange.held:
+                continue
+            owed = now - exchange.sent[0]
+            if owed > SILENT_NS:
                 self.counters.add("silent")
                 self.move(exchange, api.Result.TIMEOUT)
+            elif owed > OWED_DIALS * self.settings.dial_timeout_ns and exchange.owed != exchange.sent[0]:
+                exchange.owed = exchange.sent[0]
+                self._owes(exchange, owed)
+
+    def _owes(self, exchange: Exchange, owed_ns: int) -> None:
+        relay = exchange.relay
+        if relay is not None:
+            self.counters.add("owed")
+            self._give(lambda: api.LineOwed(exchange.number, relay.server, owed_ns))
 
 
 def _plain(value: object) -> str:
--- a/puffinpost/interface.py
+++ b/puffinpost/interface.py
@@ -316,9 +316,18 @@
     delay_ns: int
 
 
+@dataclass(frozen=True, slots=True)
+class LineOwed:
+    """A server owes a line on a standing connection for this long. Lines come back at once otherwise."""
+
+    request: RequestId
+    server: ServerId
+    owed_ns: int
+
+
 Event: TypeAlias = (
     ServerList | Banned | Retuned | Memory | Request | Inherited | Established | Outcome | ClientGone
-    | TimerDue | ProbeResult | LoadNote | DelayNote
+    | TimerDue | ProbeResult | LoadNote | DelayNote | LineOwed
 )
 
 
--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -17,11 +17,12 @@
 
 from puffinpost.decisions.delays import Delay
 from puffinpost.decisions.leaving import leaving_chance, stands_ns
+from puffinpost.decisions.silence import Silence
 from puffinpost.interface import (
     NEVER_RAN, Action, Banned, Cancel, ClientGone, DelayNote, Effect, Established, Event, Fail, Inherited,
-    ListKind, LoadNote, Log, Memory, Move, Outcome, Probe, ProbeResult, Refuse, Request, RequestClass,
-    RequestId, Result, Retuned, Scope, Send, ServerId, ServerLine, ServerList, ServerMemory, Settings,
-    Status, Subscribe, Timer, TimerDue,
+    LineOwed, ListKind, LoadNote, Log, Memory, Move, Outcome, Probe, ProbeResult, Refuse, Request,
+    RequestClass, RequestId, Result, Retuned, Scope, Send, ServerId, ServerLine, ServerList, ServerMemory,
+    Settings, Status, Subscribe, Timer, TimerDue,
 )
 
 # --- constants --------------------------------------------------------------------------------------
@@ -71,6 +72,7 @@
 STARTS_APART_NS = 500_000_000  # between two balancers' first calls for the list
 RATE_HALVING = 0.999  # how slowly running means forget, per item
 
+UNHEARD = (Result.TIMEOUT, Result.CONNECT_FAILED)  # where it took as long as a dial may
 TICK_TOKEN = 0
 MASK = 0xFFFFFFFFFFFFFFFF
 
@@ -89,8 +91,8 @@
     __slots__ = (
         "aside_until", "budget", "budget_ns", "cell", "cold_ns", "delay", "down", "faults", "fills", "groups",
         "held", "id", "kind", "lot", "leave_ns", "listed", "load", "load_ns", "moved_load", "moved_ns", "own",
-        "own_load", "placements", "probe_out", "probed_ns", "salt", "started_ns", "trusted_ns", "watchers",
-        "weight", "zone",
+        "own_load", "placements", "probe_out", "probed_ns", "salt", "silence", "started_ns", "trusted_ns",
+        "watchers", "weight", "zone",
     )
 
     def __init__(self, line: ServerLine) -> None:
@@ -109,6 +111,7 @@
         self.held = 0.0  # connections that it reported last
         self.fills = 0.0  # connections that fill it, as its reports tell; 0: not known
         self.delay = Delay()
+        self.silence = Silence()
         self.lot = 0.5  # drawn at each report: rounds this balancer's share of the room left
         self.leave_ns = 0  # by when its connections are moved away, once it drains or is banned
         self.moved_ns = 0  # no further moves before this
@@ -231,6 +234,8 @@
                 self._on_load_note(event)
             case DelayNote():
                 self._on_delay_note(event)
+            case LineOwed():
+                self._on_line_owed(event)
             case ServerList():
                 self._on_list(event)
             case Banned():
@@ -680,9 +685,40 @@
         server.faults += 1
 
     def _well(self, server: Server) -> None:
+        server.silence.heard()
         server.faults = 0
         server.aside_until = 0
 
+    def _on_line_owed(self, event: LineOwed) -> None:
+        server = self.servers.get(event.server)
+        if server is not None:
+            server.silence.owes = True
+            self._doubt(server)
+
+    def _doubt(self, server: Server) -> None:
+        """There is a sign that a server is silent: it is given up, or asked whether it is there.
+
+        Guards against connections that stay where nothing answers. Where one is given up, those of its zone
+        that hold connections are asked too: a zone is lost, or cut off, as one.
+        """
+        zone = [it for it in self.servers.values() if it.zone == server.zone and it is not server]
+        zone_silent = self.settings.zones > 1 and any(it.silence.given_up for it in zone)
+        if not server.silence.silent(zone_silent):
+            self._ask_if_there([server])
+        elif not server.silence.given_up:
+            server.silence.given_up = True
+            for flow in server.own.values():
+                if flow.standing and not flow.over:
+                    flow.over = True
+                    self.actions.append(Move(flow.request))
+            self._ask_if_there(zone)
+
+    def _ask_if_there(self, servers: list[Server]) -> None:
+        """Probes those of the servers that hold connections of this balancer's, whatever the credit."""
+        for server in servers:
+            if self.settings.probes and server.own and not server.probe_out and not self._off(server):
+                self._probe(server)
+
     def _on_delay_note(self, event: DelayNote) -> None:
         """Messages take long at a server. Where they miss their aim, its report is asked for first, and what
         is too much for it moves away. Guards against a server gone slow that a thin traffic seldom probes.
@@ -941,6 +977,11 @@
             self._take_report(server, event.report)
         elif event.result is not Result.REJECTED:
             self._fault(server)
+        if event.result in UNHEARD and event.took_ns >= self.settings.dial_timeout_ns:
+            server.silence.missed += 1
+            self._doubt(server)
+        else:
+            server.silence.heard()  # a refused connection too: the machine is there, and resets what it lost
         watchers, server.watchers = server.watchers, []
         for flow in watchers:
             flow.awaiting -= 1
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -161,6 +161,30 @@
         assert stage.said == ["log", "failed"] and other.standing and list(stage.core.exchanges) == [1]
 
 
+def test_a_line_that_is_owed_is_told_once_and_a_client_that_does_not_read_is_not_the_transcribers_fault(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    stage = Stage()
+    told: list[api.LineOwed] = []
+    monkeypatch.setattr(stage.core, "_time_out", lambda relay: None)  # this clock cancels nothing
+    exchange = stage.core.open(Message(0, 3000 * MS), stage)
+    stage.core.up(stage.relays[0])
+    monkeypatch.setattr(stage.core.balancer, "_on_line_owed", told.append)
+    stage.core.line_north(exchange, 10)
+    stage.core.hold(exchange, True)
+    stage.run(2000)
+    assert told == []
+    stage.core.hold(exchange, False)
+    stage.run(2 * stage.core.settings.dial_timeout_ns // MS)
+    assert told == []  # it counts from when the client reads again
+    stage.run(2000)
+    assert [(it.request, it.server) for it in told] == [(exchange.number, stage.relays[0].server)]
+    stage.core.line_south(stage.relays[0], 10, True)
+    stage.core.line_north(exchange, 10)
+    stage.run(1000)
+    assert len(told) == 2 and exchange.standing
+
+
 def test_a_name_has_one_id_everywhere_and_two_names_have_two() -> None:
     one, two = Inventory((), ()), Inventory((), ())
     names = [{**ENTRY, "name": f"s-{n}"} for n in range(50)]
