--- a/puffinpost/decisions/leaving.py
+++ b/puffinpost/decisions/leaving.py
@@ -1,8 +1,12 @@
-"""When connections leave a server that drains: spread over the time for which it surely stands."""
+"""When connections leave a server that drains: late, evenly, and where the rest of the fleet has room.
+
+A server that drains serves what it has as well as before, and those that take its place are listed late and
+start cold. Who leaves at once falls on the few that are warm, with all the others.
+"""
 
 from __future__ import annotations
 
-STANDS_PART = 0.9  # of that time is used: the last ones still have to be told, and to go
+from collections.abc import Iterable
 
 
 def stands_ns(deadlines_ns: list[int]) -> int:
@@ -11,7 +15,21 @@
     It finishes what it has, and what was sent to it just before may take as long as its client waits: the
     shortest deadline of the settings' classes (``Classes[].HardLimitNs``).
     """
-    return int(STANDS_PART * min(deadlines_ns))
+    return min(deadlines_ns)
+
+
+def load_after(staying: Iterable[tuple[float, float]], leaving: Iterable[tuple[float, float]]) -> float:
+    """The load over capacity of the servers that stay, once they have taken what stands on those that leave.
+
+    Each server is a pair: its capacity now, in any unit, and its load over that. Where no load of one that
+    stays is known it is 0: nobody is kept back for want of reports.
+    """
+    capacity = work = 0.0
+    for able, load in staying:
+        capacity += able
+        work += able * load
+    work += sum(able * load for able, load in leaving)
+    return work / capacity if capacity > 0 else 0.0
 
 
 def leaving_chance(left_ns: int, tick_ns: int) -> float:
--- a/puffinpost/net/discovery.py
+++ b/puffinpost/net/discovery.py
@@ -13,6 +13,7 @@
 from puffinpost.protocol import http
 
 WAIT_MS = 20_000
+OVERRUN = 503  # a call that waited too long in turn
 CONNECT_S = 2.0
 # Guards against a discovery that has vanished without a word: a call that outlasts its wait by this fails.
 # What it had to tell counts as told 2 s after the wait, so there must be time left for another call.
@@ -24,7 +25,8 @@
     """Calls discovery from when it is told to start until a call fails; then it waits to be told again."""
 
     def __init__(self, address: tuple[str, int], index: Callable[[], int],
-                 told: Callable[[dict[str, Any]], None], failed: Callable[[], None]) -> None:
+                 told: Callable[[dict[str, Any]], None], failed: Callable[[], None],
+                 rest_s: Callable[[], float] = lambda: 0.0, shares: bool = False) -> None:
         self.address = address
         self.index = index
         self.told = told
@@ -32,7 +34,10 @@
         # Guards against a discovery that counts anew, or that another one has taken the place of: what is
         # newer than a version of the old one's would be waited for in vain. The whole list starts over. So it
         # does at the start: a watch would tell only of what is newer than what this node was started with.
-        self._whole = True
+        # In a fleet that has to share its calls out that is enough, and half the calls.
+        self._whole = not shares
+        self.shares = shares
+        self.rest_s = rest_s  # how long to wait before the next call
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -53,16 +58,18 @@
         self.start()
 
     async def _run(self) -> None:
-        await self._watch()
-        self._task, self._whole = None, True
+        overrun = await self._watch()
+        # One that is overrun counts on as before, and a whole list costs it more.
+        self._task, self._whole = None, self._whole or not (self.shares and overrun)
         self.failed()
 
-    async def _watch(self) -> None:
+    async def _watch(self) -> bool:
+        """Calls until one fails; whether that was for want of discovery's time."""
         link = await dial(self.address, CONNECT_S)
         try:
             if link is None:
                 log.say("discovery: no connection")
-                return
+                return False
             while True:
                 wait_ms = 0 if self._whole else WAIT_MS
                 path = "/api/targets" + (f"?after={self.index()}&wait_ms={wait_ms}" if wait_ms else "")
@@ -71,14 +78,17 @@
                 reply = await asyncio.wait_for(call, limit)
                 if reply.status != 200:
                     log.say(f"discovery: status {reply.status}")
-                    return
+                    return reply.status == OVERRUN
                 self.told(inventory.parse(reply.body))
                 self._whole = False
-                if not reply.keep:
+                rest_s = self.rest_s()
+                if rest_s > 0:
+                    await asyncio.sleep(rest_s)
+                if not reply.keep or link.stream.closed():
                     link.close()
                     link = await dial(self.address, CONNECT_S)
                     if link is None:
-                        return
+                        return False
         except (TimeoutError, StreamClosedError, OSError, ValueError) as problem:
             log.say(f"discovery: {type(problem).__name__} {problem}")
         except Exception:
@@ -86,6 +96,7 @@
         finally:
             if link is not None:
                 link.close()
+        return False
 
     async def _call(self, stream: IOStream, request: bytes) -> http.Reply:
         await stream.write(request)
--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -15,8 +15,9 @@
 import math
 import random
 
+from puffinpost.decisions.asking import Asking
 from puffinpost.decisions.delays import Delay
-from puffinpost.decisions.leaving import leaving_chance, stands_ns
+from puffinpost.decisions.leaving import leaving_chance, load_after, stands_ns
 from puffinpost.decisions.silence import Silence
 from puffinpost.interface import (
     NEVER_RAN, Action, Banned, Cancel, ClientGone, DelayNote, Effect, Established, Event, Fail, Inherited,
@@ -171,8 +172,8 @@
     """Decides for one balancer. `handle` takes one event and returns the actions that answer it."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        self._tune(settings)
         self.chance = random.Random(seed)
+        self._tune(settings)
         self.now = 0
         self.actions: list[Action] = []
         self.servers: dict[ServerId, Server] = {}
@@ -188,6 +189,7 @@
         self.window = WINDOW_MOST  # and how many there may be
         self.own_load = 0.0
         self.mean_load = 0.0
+        self.load_after = 0.0  # once what drains has left
         self.spread = float(settings.balancers)  # connections of all balancers for each one of this one's
         self.mean_own = 1.0  # mean load of a connection here
         self.learned = 0  # servers of which it is known what they can do
@@ -203,6 +205,7 @@
         """Settings come into force, at the start or later. A request keeps the class that it came under."""
         self.settings = settings
         self.aim_ns = min(item.aim_ns for item in settings.classes)
+        self.asking = Asking(settings.balancers, settings.ask_within_ns, self.chance)
         self.stands_ns = stands_ns([item.deadline_ns for item in settings.classes])
         self.message_aim_ns = min(
             (item.message_aim_ns for item in settings.classes if item.message_aim_ns > 0), default=0
@@ -256,7 +259,8 @@
             # Soon: what this instance was started with may be old, and a peer that restarts starts alone.
             others = self.settings.balancers - 1
             spread = min(int(self.settings.ask_within_ns * ASK_SPREAD), others * STARTS_APART_NS)
-            self.ask_ns = self.now + self.chance.randrange(spread + 1)
+            first = self.asking.rest_ns() if self.asking.shared else self.chance.randrange(spread + 1)
+            self.ask_ns = self.now + first
 
     def _on_timer(self, token: int) -> None:
         if token != TICK_TOKEN:
@@ -512,6 +516,11 @@
         held = max(self.own_load, self._typical()) * self.settings.balancers
         self.scale = max(held / max(used, weight * GUESSED_FULLNESS, 1e-9), 1e-9)
         self.mean_load = clipped / told_weight if told_weight > 0 else 0.0
+        known = [it for it in self.servers.values() if it.load is not None and it.id not in self.banned]
+        self.load_after = load_after(
+            ((it.weight * self._warmth(it), it.load or 0.0) for it in known if not it.down),
+            ((it.weight, it.load or 0.0) for it in known if it.down and it.own),
+        )
         self.full_connections = None
         if warm_held >= 1 and warm_used > 0:
             self.full_connections = warm_held * self.settings.balancers / warm_used
@@ -1038,18 +1047,24 @@
     def _leave_drained(self) -> None:
         """Moves connections off servers that drain or are banned.
 
-        Guards against connections that are cut off when such a server stops. They are spread over a while:
-        all at once they would be set up anew all at once. Off one that is banned they go sooner, and a share
-        rounded up at each tick: operators wait to restart it.
+        Guards against connections that are cut off when such a server stops. They go in the last aim for
+        which it surely stands, what a set-up may take, if the others have room for them; else they are better
+        off where they are. Off one that is banned they go at once, and a share rounded up at each tick:
+        operators wait to restart it.
         """
         for server in self.servers.values():
             banned = server.id in self.banned
             if not (server.own and (banned or (server.down and server.listed))):
                 continue
             standing = [flow for flow in server.own.values() if flow.standing and not flow.over]
-            chance = leaving_chance(server.leave_ns - self.now, self.tick_ns)
+            left = server.leave_ns - self.now
+            if left <= 0 and not banned:
+                left = self.aim_ns  # there was no room before
+            chance = leaving_chance(left, self.tick_ns)
             if banned:
                 standing = standing[:math.ceil(len(standing) * chance)]
+            elif left > self.aim_ns or self.load_after > ROOMY:
+                continue
             else:
                 standing = [flow for flow in standing if self.chance.random() < chance]
             for flow in standing:
@@ -1077,5 +1092,6 @@
         soon = CALLS_APART_NS * self.settings.balancers << min(self.list_fails, 20)
         step = max(1, min(soon, int(self.settings.ask_within_ns * ASK_SPREAD / 2)))
         self.list_fails += 1
-        self.ask_ns = self.now + step // 2 + self.chance.randrange(step)
+        after = step // 2 + self.chance.randrange(step)
+        self.ask_ns = self.now + (self.asking.retry_ns(self.list_fails) if self.asking.shared else after)
         self.actions.append(Log("server list: call failed, asking again"))
