A watch of discovery is never left after an answer: a rest there broke the drain rule

The protocol page has a watch go on for 200 ms after its last answer: what changes then counts as told at once. Change: the next call goes out at once; only a start and a call that failed, when nobody watches, are spread out.

--- a/puffinpost/decisions/asking.py
+++ b/puffinpost/decisions/asking.py
@@ -30,10 +30,10 @@
         return self.balancers * APART_NS > QUEUE_NS
 
     def rest_ns(self) -> int:
-        """How long to wait before the first call, or between an answer and the next call.
+        """How long to wait before the first call, and at least after one that failed: nobody watches then.
 
-        What changes meanwhile is told by the next call. Even over one call of each node, or over the time
-        within which a node must ask (``Rules.AskWithinNs``) where that is shorter.
+        Even over one call of each node, or over the time within which a node must ask
+        (``Rules.AskWithinNs``) where that is shorter. Never between an answer and the next call: see `Watch`.
         """
         if not self.shared:
             return 0
--- a/puffinpost/net/discovery.py
+++ b/puffinpost/net/discovery.py
@@ -18,15 +18,19 @@
 # Guards against a discovery that has vanished without a word: a call that outlasts its wait by this fails.
 # What it had to tell counts as told 2 s after the wait, so there must be time left for another call.
 OVERTIME_S = 1.0
+GOES_ON_S = 0.2  # a watch goes on where the next call comes within this of the last answer (the protocol page)
 WHOLE_S = 2.5  # for the whole list, which is answered in turn: after 2 s discovery gives up by itself
 
 
 class Watch:
-    """Calls discovery from when it is told to start until a call fails; then it waits to be told again."""
+    """Calls discovery from when it is told to start until a call fails; then it waits to be told again.
+
+    A watch is never left between an answer and the next call, only by a call that failed.
+    """
 
     def __init__(self, address: tuple[str, int], index: Callable[[], int],
                  told: Callable[[dict[str, Any]], None], failed: Callable[[], None],
-                 rest_s: Callable[[], float] = lambda: 0.0, shares: bool = False) -> None:
+                 shares: bool = False) -> None:
         self.address = address
         self.index = index
         self.told = told
@@ -37,7 +41,6 @@
         # In a fleet that has to share its calls out that is enough, and half the calls.
         self._whole = not shares
         self.shares = shares
-        self.rest_s = rest_s  # how long to wait before the next call
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -81,9 +84,8 @@
                     return reply.status == OVERRUN
                 self.told(inventory.parse(reply.body))
                 self._whole = False
-                rest_s = self.rest_s()
-                if rest_s > 0:
-                    await asyncio.sleep(rest_s)
+                # The next call goes out at once. Guards the drain rule: for `GOES_ON_S` after an answer what
+                # changes counts as told, though nobody watches; who rests here learns of it when it is late.
                 if not reply.keep or link.stream.closed():
                     link.close()
                     link = await dial(self.address, CONNECT_S)
--- a/puffinpost/wiring/node.py
+++ b/puffinpost/wiring/node.py
@@ -76,7 +76,6 @@
         self.prober = Prober(lambda: self.core.settings.report_fields, self.core.probed)
         self.watch = Watch(
             told.discovery, lambda: self.inventory.index, self._told, self.core.inventory_failed,
-            lambda: self.core.balancer.asking.rest_ns() / 1e9,
             self.core.balancer.asking.shared and bool(told.known),
         )
         if told.trace:
