--- a/puffinpost/config/node.py
+++ b/puffinpost/config/node.py
@@ -62,6 +62,14 @@
     meeting: str = ""  # the folder where processes of this node meet at an upgrade; empty: each lives alone
 
 
+def _from_agent(settings: api.Settings) -> api.Settings:
+    """On sockets every list is asked for. Where the settings say that lists are pushed, they are pushed to an
+    agent on this machine, and it is the agent that is asked: at once and at no cost (the protocol page,
+    Discovery), so there is no time to spread calls over.
+    """
+    return replace(settings, list_on_request=True, ask_within_ns=0)
+
+
 def flatten(value: Any, path: str = "") -> list[str]:
     """Nested settings as the simulator's ``path=value`` lines."""
     dot = f"{path}." if path else ""
@@ -134,7 +142,7 @@
         listen=address("GW_LISTEN", "listen"),
         discovery=address("GW_DISCOVERY", "discovery"),
         seed=seed,
-        settings=settings,
+        settings=settings if settings.list_on_request else _from_agent(settings),
         classes=classes,
         zones=tuple(str(item) for item in raw.get("Dcs", [])),
         kinds=tuple(str(item) for item in raw.get("Kinds", [])),
--- a/puffinpost/core.py
+++ b/puffinpost/core.py
@@ -228,10 +228,10 @@
         self.fresh = self.fresh or not cached
         self._give(lambda: event)
 
-    def inventory_failed(self) -> None:
-        """A call failed, or the watch broke."""
+    def inventory_failed(self, asked: bool = True) -> None:
+        """A call failed, or the watch broke; ``asked``: discovery was reached with it."""
         self.counters.add("inventory_failed")
-        self._give(lambda: api.ServerList(api.ListKind.FAILED))
+        self._give(lambda: api.ServerList(api.ListKind.FAILED, asked=asked))
 
     def follow_bans(self, banned: dict[str, int]) -> None:
         """Operators' bans as they are now; the decisions are given what has changed."""
--- a/puffinpost/decisions/asking.py
+++ b/puffinpost/decisions/asking.py
@@ -17,7 +17,10 @@
 
 
 class Asking:
-    """One node's part of the calls. ``balancers``: how many nodes there are; times in ns."""
+    """One node's part of the calls. ``balancers``: how many nodes there are; times in ns.
+
+    ``ask_within_ns`` is 0 where the list costs nobody anything: an agent of the node's own machine has it.
+    """
 
     def __init__(self, balancers: int, ask_within_ns: int, chance: random.Random) -> None:
         self.balancers = balancers
@@ -27,7 +30,7 @@
     @property
     def shared(self) -> bool:
         """Whether the fleet is so large that its calls have to be shared out."""
-        return self.balancers * APART_NS > QUEUE_NS
+        return self.within_ns > 0 and self.balancers * APART_NS > QUEUE_NS
 
     def rest_ns(self) -> int:
         """How long to wait before the first call, and at least after one that failed: nobody watches then.
--- /dev/null
+++ b/puffinpost/emulator/fleet/discovery.py
@@ -0,0 +1,154 @@
+"""Discovery on a virtual clock: one service that works through the calls of all nodes in turn.
+
+It can be slow, down or silent, be behind, and start over with another count.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from puffinpost.emulator.fleet.clock import MS, WIRE_NS, Clock, S
+from puffinpost.emulator.fleet.rule import Change, DrainRule
+from puffinpost.following.calls import Call, End
+
+GIVES_UP_NS = 2 * S  # a call that waited this long in discovery's queue fails
+
+
+class Asker(Protocol):
+    """Who calls."""
+
+    number: int
+
+
+@dataclass(slots=True)
+class Entry:
+    """One transcriber, as it truly is."""
+
+    name: str
+    status: str = "up"
+    since_ms: int = 0
+    change: Change | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Caller:
+    """A call at discovery, and whom its end is told."""
+
+    node: Asker
+    call: Call
+    done: Callable[[End | dict[str, Any]], None]
+    waits: bool = False  # a watch whose turn has come
+    over: bool = False
+
+
+@dataclass(slots=True)
+class Discovery:
+    """The service. ``cost_ns``: the work of one call; ``lag_ns``: how far its list is behind the true one."""
+
+    clock: Clock
+    rule: DrainRule
+    cost_ns: int
+    lag_ns: int = 0
+    index: int = 1
+    upto: int = 0  # changes of the true list that it knows
+    entries: dict[str, tuple[int, dict[str, Any]]] = field(default_factory=dict)  # by name: version, entry
+    free_ns: int = 0
+    down: bool = False
+    silent: bool = False
+    out: list[Caller] = field(default_factory=list)
+    overruns: int = 0
+    calls: int = 0
+
+    def take(self, batch: list[Entry]) -> None:
+        """The true list has changed; it hears of it ``lag_ns`` later, and tells who waits."""
+        news = [(it.name, entry_of(it), it.change.number if it.change is not None else 0) for it in batch]
+        self.clock.call_later(self.lag_ns, lambda: self._took(news))
+
+    def _took(self, news: list[tuple[str, dict[str, Any], int]]) -> None:
+        self.index += 1
+        for name, entry, number in news:
+            self.entries[name] = (self.index, entry)
+            self.upto = max(self.upto, number)
+        if not (self.down or self.silent):
+            for caller in [it for it in self.out if it.waits]:
+                self._answer_if_news(caller)
+
+    def begin(self, caller: Caller) -> None:
+        """A call arrives."""
+        if self.down:
+            return
+        self.calls += 1
+        self.rule.called(caller.node.number, caller.call.wait_ms * MS, self.clock.time)
+        self.out.append(caller)
+        if self.silent:
+            return
+        starts = max(self.clock.time, self.free_ns)
+        if starts - self.clock.time > GIVES_UP_NS:
+            self.clock.call_later(GIVES_UP_NS, lambda: self._fail(caller, End.OVERRUN))
+            self.overruns += 1
+            return
+        self.free_ns = starts + self.cost_ns
+        self.clock.call_later(self.free_ns - self.clock.time, lambda: self._work(caller))
+
+    def _work(self, caller: Caller) -> None:
+        if caller.over or self.silent:
+            return
+        if caller.call.after is None:
+            self._answer(caller, True, list(self.entries.values()))
+            return
+        caller.waits = True
+        self._answer_if_news(caller)
+        if not caller.over:
+            self.clock.call_later(caller.call.wait_ms * MS, lambda: self._waited(caller))
+
+    def _waited(self, caller: Caller) -> None:
+        if not caller.over and not self.silent:
+            self._answer(caller, False, [])
+
+    def _answer_if_news(self, caller: Caller) -> None:
+        after = caller.call.after or 0
+        news = [it for it in self.entries.values() if it[0] > after]
+        if news:
+            self._answer(caller, False, news)
+
+    def _answer(self, caller: Caller, whole: bool, news: list[tuple[int, dict[str, Any]]]) -> None:
+        self.leave(caller)
+        entries = [it for _, it in news if not (whole and it["status"] == "removed")]
+        answer = {"index": self.index, "snapshot": whole, "endpoints": entries}
+        self.rule.answered(caller.node.number, self.upto, self.clock.time)
+        self.clock.call_later(WIRE_NS, lambda: caller.done(answer))
+
+    def _fail(self, caller: Caller, how: End) -> None:
+        if not caller.over:
+            self.leave(caller)
+            self.rule.failed(caller.node.number, self.clock.time)
+            self.clock.call_later(WIRE_NS, lambda: caller.done(how))
+
+    def leave(self, caller: Caller) -> None:
+        caller.over = True
+        if caller in self.out:
+            self.out.remove(caller)
+
+    def restart(self, index: int) -> None:
+        """Another process has its place, and counts from ``index``."""
+        self.index = index
+        self.entries = {name: (index, entry) for name, (_, entry) in self.entries.items()}
+        self._reset()
+
+    def go_down(self) -> None:
+        """It refuses connections, and those that stand are reset."""
+        self.down = True
+        self._reset()
+
+    def _reset(self) -> None:
+        """What is out or waits is over. Who is between an answer and its next call watches no more."""
+        self.rule.watches_end()
+        for caller in list(self.out):
+            self._fail(caller, End.FAILED)
+
+
+def entry_of(it: Entry) -> dict[str, Any]:
+    return {"name": it.name, "address": "127.0.0.1:9000", "zone": "amman", "type": "large", "group": 0,
+            "status": it.status, "weight": 1.0, "since_ms": it.since_ms}
--- /dev/null
+++ b/puffinpost/emulator/fleet/node.py
@@ -0,0 +1,186 @@
+"""One node of the fleet: its core, its decisions and its calls, and the clients that come to it."""
+
+from __future__ import annotations
+
+import random
+from typing import Any, Protocol
+
+from puffinpost import interface as api
+from puffinpost.core import Core, Message, Relay
+from puffinpost.counters import Counters
+from puffinpost.emulator.fleet.clock import MS, WIRE_NS, Clock, S
+from puffinpost.emulator.fleet.discovery import Caller, Discovery, Entry
+from puffinpost.emulator.fleet.rule import DrainRule
+from puffinpost.following.calls import End, Following
+from puffinpost.inventory import Inventory
+
+CONNECT_NS = 2 * S
+
+
+class World(Protocol):
+    """What a node sees of the rest."""
+
+    clock: Clock
+    rule: DrainRule
+    discoveries: list[Discovery]
+    entries: dict[str, Entry]
+    rest_s: float
+    looks: bool
+    slow_dials: float
+    per_s: float
+    asked: int
+    answered: int
+    twice: int
+
+
+class FleetNode:
+    """One node: its core, its decisions, and its calls, with the driver's part played by the clock.
+
+    The world's ``rest_s`` and ``looks`` are faults to plant: a rest after each answer, and whether the core
+    looks at the list once more before a first byte.
+    """
+
+    def __init__(self, world: World, number: int, settings: api.Settings, seed: int) -> None:
+        self.world, self.number = world, number
+        self.clock = world.clock
+        self.chance = random.Random(seed)
+        self.inventory = Inventory(("amman",), ("large",))
+        self.core = Core(settings, ("a",), seed, self.inventory, self.clock, self, Counters())
+        self.following = Following(self.core.balancer.asking.shared, True)
+        self.at = world.discoveries[0]
+        self.caller: Caller | None = None
+        self.active = 0  # numbers the watch that goes on; 0: none does
+        self._watches = 0
+
+    # --- Ports ----------------------------------------------------------------------------------------
+
+    def probe(self, server: api.ServerId) -> None:
+        self.clock.call_later(2 * MS, lambda: self.core.probed(server, api.Result.SERVED, 2 * MS, (0.3, 5.0)))
+
+    def subscribe(self) -> None:
+        if not self.active:
+            self._begin()
+
+    def log(self, text: str) -> None:
+        pass
+
+    # --- the calls ------------------------------------------------------------------------------------
+
+    def redirect(self, discovery: Discovery) -> None:
+        """The configuration names another discovery."""
+        for caller in [it for it in self.at.out if it.node is self]:
+            self.at.leave(caller)
+        if self.caller is not None:
+            self.caller.over = True
+        self.at = discovery
+        self.inventory.another = True
+        self.following.redirected()
+        self._begin()
+
+    def _begin(self) -> None:
+        self._watches += 1
+        self.active = self._watches
+        self._call(self.active)
+
+    def _call(self, watch: int) -> None:
+        if watch != self.active:
+            return
+        if self.at.down or self.at.silent:
+            after = WIRE_NS if self.at.down else CONNECT_NS
+            self.clock.call_later(after, lambda: self._ended(watch, End.UNREACHED))
+            return
+        call = self.following.call(self.inventory.index)
+        began = self.clock.time
+        caller = Caller(self, call, lambda how: self._done(watch, began, how))
+        self.caller = caller
+        self.at.begin(caller)
+        self.clock.call_later(call.limit_ns, lambda: self._silent(watch, caller))
+
+    def _silent(self, watch: int, caller: Caller) -> None:
+        if not caller.over:
+            caller.over = True
+            self._ended(watch, End.SILENT)
+
+    def _done(self, watch: int, began: int, how: End | dict[str, Any]) -> None:
+        if watch != self.active:
+            return
+        if isinstance(how, End):
+            self._ended(watch, how)
+            return
+        self.core.inventory_told(how)
+        pause = self.following.answered(bool(how["endpoints"]), self.clock.time - began)
+        pause += int(self.world.rest_s * S * self.chance.random())
+        self.clock.call_later(pause, lambda: self._call(watch))
+
+    def _ended(self, watch: int, how: End) -> None:
+        if watch != self.active:
+            return
+        if self.following.ended(how):
+            self._call(watch)
+        else:
+            self.active = 0
+            self.core.inventory_failed(how is not End.UNREACHED)
+
+    # --- the north side, and the wire to transcribers ---------------------------------------------------
+
+    def arrive(self) -> None:
+        """A client asks, and the next one some time later."""
+        wait_ms = self.chance.choice((1200, 2000, 4800))
+        self.world.asked += 1
+        self.core.open(Message(0, wait_ms * MS, key=self.chance.getrandbits(32)), Client(self))
+        self.clock.call_later(int(self.chance.expovariate(self.world.per_s) * S), self.arrive)
+
+
+class Client:
+    """A client and the wire of its relays. Counts final answers."""
+
+    def __init__(self, node: FleetNode) -> None:
+        self.node, self.answers = node, 0
+
+    def start_relay(self, relay: Relay) -> None:
+        chance = self.node.chance
+        slow = chance.random() < self.node.world.slow_dials
+        limit = self.node.core.settings.dial_timeout_ns
+        after = int(limit * chance.random()) if slow else WIRE_NS
+        self.node.clock.call_later(after, lambda: self._connected(relay))
+
+    def _connected(self, relay: Relay) -> None:
+        core, world = self.node.core, self.node.world
+        if relay.over:
+            return
+        if world.looks and not core.may_write(relay):
+            core.ended(relay, api.Result.CONNECT_FAILED)
+            return
+        name = core.inventory.name(relay.server)
+        world.rule.sent(self.node.number, name, self.node.clock.time)
+        core.written(relay)
+        took = int(self.node.chance.uniform(5, 60) * MS)
+        self.node.clock.call_later(took, lambda: self._answer(relay, name))
+
+    def _answer(self, relay: Relay, name: str) -> None:
+        core = self.node.core
+        if relay.over:
+            return
+        if self.node.world.entries[name].status == "removed":
+            core.ended(relay, api.Result.CONNECT_FAILED)
+        elif core.up(relay):
+            self._final()
+            life = int(self.node.chance.expovariate(1 / 2.0) * S)
+            self.node.clock.call_later(life, lambda: core.ended(relay, api.Result.SERVED))
+
+    def drop_relay(self, relay: Relay) -> None:
+        """The socket is closed; nothing more comes of it."""
+
+    def refuse(self, pause_ns: int) -> None:
+        self._final()
+
+    def fail(self, overdue: bool) -> None:
+        self._final()
+
+    def move(self) -> None:
+        """The client goes away, and does not come again here."""
+
+    def _final(self) -> None:
+        self.answers += 1
+        self.node.world.answered += 1
+        self.node.world.twice += self.answers > 1
--- a/puffinpost/interface.py
+++ b/puffinpost/interface.py
@@ -176,10 +176,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerList:
-    """The server list came, or a call for it failed."""
+    """The server list came, or a call for it failed; ``asked``: that call reached whom it was made to."""
 
     kind: ListKind
     lines: tuple[ServerLine, ...] = ()
+    asked: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/puffinpost/inventory.py
+++ b/puffinpost/inventory.py
@@ -48,6 +48,7 @@
     zones: Sequence[str]
     kinds: Sequence[str]
     index: int = 0
+    another: bool = False  # another discovery is asked from now on, and its whole list has not come yet
     addresses: dict[api.ServerId, tuple[str, int]] = field(default_factory=dict)
     statuses: dict[api.ServerId, api.Status] = field(default_factory=dict)
     _started: dict[api.ServerId, int] = field(default_factory=dict)
@@ -64,7 +65,7 @@
         # every node.
         for entry in sorted(entries, key=_name_of):
             line = self._line(entry)
-            if index < self.index:
+            if index < self.index or (full and self.another):
                 line = self._newer_of(line)
             lines.append(line)
             if line.status is not api.Status.GONE:
@@ -73,7 +74,8 @@
                 except (ValueError, AttributeError):
                     raise InventoryError(f"{entry['name']}: address {entry.get('address')!r}") from None
         if full:
-            self.statuses = {}
+            # Who is left out is gone, and is remembered as such: a list that is behind may still name it.
+            self.statuses, self.another = dict.fromkeys(self.statuses, api.Status.GONE), False
         for line in lines:
             self.statuses[line.server] = line.status
             self._started[line.server] = line.started_ns
@@ -85,7 +87,8 @@
 
     def _newer_of(self, line: api.ServerLine) -> api.ServerLine:
         """Guards against a discovery that is behind another one: what has been told to drain or to be gone
-        stays so in a list that counts lower, unless its process has started since.
+        stays so in a list that counts lower, or is the first of another discovery, whatever that counts from;
+        unless its process has started since.
         """
         known = self.statuses.get(line.server, api.Status.READY)
         again = line.started_ns > self._started.get(line.server, 0)
--- a/puffinpost/net/discovery.py
+++ b/puffinpost/net/discovery.py
@@ -3,44 +3,34 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from typing import Any
 
 from tornado.iostream import IOStream, StreamClosedError
 
 from puffinpost import inventory, log
-from puffinpost.net.link import dial
+from puffinpost.following.calls import End, Following
+from puffinpost.net.link import Link, dial
 from puffinpost.protocol import http
 
-WAIT_MS = 20_000
 OVERRUN = 503  # a call that waited too long in turn
 CONNECT_S = 2.0
-# Guards against a discovery that has vanished without a word: a call that outlasts its wait by this fails.
-# What it had to tell counts as told 2 s after the wait, so there must be time left for another call.
-OVERTIME_S = 1.0
-GOES_ON_S = 0.2  # a watch goes on where the next call comes within this of the last answer (the protocol page)
-WHOLE_S = 2.5  # for the whole list, which is answered in turn: after 2 s discovery gives up by itself
 
 
 class Watch:
-    """Calls discovery from when it is told to start until a call fails; then it waits to be told again.
+    """Makes the calls of a ``Following``, from when it is told to start until a rest is due.
 
-    A watch is never left between an answer and the next call, only by a call that failed.
+    Then it waits to be told again.
     """
 
-    def __init__(self, address: tuple[str, int], index: Callable[[], int],
-                 told: Callable[[dict[str, Any]], None], failed: Callable[[], None],
-                 shares: bool = False) -> None:
+    def __init__(self, address: tuple[str, int], following: Following, index: Callable[[], int],
+                 told: Callable[[dict[str, Any]], None], failed: Callable[[bool], None]) -> None:
         self.address = address
+        self.following = following
         self.index = index
         self.told = told
-        self.failed = failed
-        # Guards against a discovery that counts anew, or that another one has taken the place of: what is
-        # newer than a version of the old one's would be waited for in vain. The whole list starts over. So it
-        # does at the start: a watch would tell only of what is newer than what this node was started with.
-        # In a fleet that has to share its calls out that is enough, and half the calls.
-        self._whole = not shares
-        self.shares = shares
+        self.failed = failed  # is given whether a call was made at all
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -54,60 +44,70 @@
         The call that was out is dropped unanswered: what it would have told, the list holds.
         """
         if address != self.address:
-            self.address, self._whole = address, True
+            self.address = address
+            self.following.redirected()
             if self._task is not None:
                 self._task.cancel()
                 self._task = None
         self.start()
 
     async def _run(self) -> None:
-        overrun = await self._watch()
-        # One that is overrun counts on as before, and a whole list costs it more.
-        self._task, self._whole = None, self._whole or not (self.shares and overrun)
-        self.failed()
-
-    async def _watch(self) -> bool:
-        """Calls until one fails; whether that was for want of discovery's time."""
-        link = await dial(self.address, CONNECT_S)
+        how = await self._watch()
+        while self.following.ended(how):
+            how = await self._watch()
+        self._task = None
+        self.failed(how is not End.UNREACHED)
+
+    async def _watch(self) -> End:
+        """Calls until one ends without an answer."""
+        link: Link | None = None
         try:
-            if link is None:
-                log.say("discovery: no connection")
-                return False
             while True:
-                wait_ms = 0 if self._whole else WAIT_MS
-                path = "/api/targets" + (f"?after={self.index()}&wait_ms={wait_ms}" if wait_ms else "")
-                call = self._call(link.stream, http.get(path, f"{self.address[0]}:{self.address[1]}"))
-                limit = wait_ms / 1000 + OVERTIME_S if wait_ms else WHOLE_S
-                reply = await asyncio.wait_for(call, limit)
+                if link is None or link.stream.closed():
+                    link = await dial(self.address, CONNECT_S)
+                if link is None:
+                    log.say("discovery: no connection")
+                    return End.UNREACHED
+                began = time.monotonic_ns()
+                reply = await self._call(link.stream)
                 if reply.status != 200:
                     log.say(f"discovery: status {reply.status}")
-                    return reply.status == OVERRUN
-                self.told(inventory.parse(reply.body))
-                self._whole = False
-                # The next call goes out at once. Guards the drain rule: for `GOES_ON_S` after an answer what
-                # changes counts as told, though nobody watches; who rests here learns of it when it is late.
-                if not reply.keep or link.stream.closed():
+                    return End.OVERRUN if reply.status == OVERRUN else End.FAILED
+                answer = inventory.parse(reply.body)
+                self.told(answer)
+                if not reply.keep:
                     link.close()
-                    link = await dial(self.address, CONNECT_S)
-                    if link is None:
-                        return False
-        except (TimeoutError, StreamClosedError, OSError, ValueError) as problem:
+                took_ns = time.monotonic_ns() - began
+                pause_ns = self.following.answered(bool(answer.get("endpoints")), took_ns)
+                if pause_ns:
+                    await asyncio.sleep(pause_ns / 1e9)
+        except TimeoutError:
+            log.say("discovery: no word in time")
+            return End.SILENT
+        except (StreamClosedError, OSError, ValueError) as problem:
             log.say(f"discovery: {type(problem).__name__} {problem}")
         except Exception:
             log.say_exception("discovery")
         finally:
             if link is not None:
                 link.close()
-        return False
-
-    async def _call(self, stream: IOStream, request: bytes) -> http.Reply:
-        await stream.write(request)
-        parser = http.ReplyParser()
-        while True:
-            try:
-                data = await stream.read_bytes(64 * 1024, partial=True)
-            except StreamClosedError:
-                return parser.end()
-            reply = parser.feed(data)
-            if reply is not None:
-                return reply
+        return End.FAILED
+
+    async def _call(self, stream: IOStream) -> http.Reply:
+        call = self.following.call(self.index())
+        query = "" if call.after is None else f"?after={call.after}&wait_ms={call.wait_ms}"
+        request = http.get(f"/api/targets{query}", f"{self.address[0]}:{self.address[1]}")
+        return await asyncio.wait_for(_answer(stream, request), call.limit_ns / 1e9)
+
+
+async def _answer(stream: IOStream, request: bytes) -> http.Reply:
+    await stream.write(request)
+    parser = http.ReplyParser()
+    while True:
+        try:
+            data = await stream.read_bytes(64 * 1024, partial=True)
+        except StreamClosedError:
+            return parser.end()
+        reply = parser.feed(data)
+        if reply is not None:
+            return reply
--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -280,7 +280,7 @@
 
     def _on_list(self, event: ServerList) -> None:
         if event.kind is ListKind.FAILED:
-            self._on_list_failed()
+            self._on_list_failed(event.asked)
             return
         if event.kind is not ListKind.CACHED:
             self._on_list_came()
@@ -1088,15 +1088,18 @@
     def _on_list_came(self) -> None:
         self.ask_ns, self.list_fails = None, 0
 
-    def _on_list_failed(self) -> None:
+    def _on_list_failed(self, asked: bool) -> None:
         """Guards against a list that is down or overrun: ask again later, at a chance moment.
 
         Soon at first, for most calls fail because a connection broke, and what changes meanwhile is not told;
-        then at twice the distance each time.
+        then at twice the distance each time. Where no call was made at all, the time within which the list
+        has to be asked for runs on (`Rules.AskWithinNs`; a call that failed makes it four times that).
         """
         soon = CALLS_APART_NS * self.settings.balancers << min(self.list_fails, 20)
-        step = max(1, min(soon, int(self.settings.ask_within_ns * ASK_SPREAD / 2)))
+        most = self.settings.ask_within_ns
+        step = max(1, min(soon, int(most * ASK_SPREAD / 2) if most else self.aim_ns))
         self.list_fails += 1
         after = step // 2 + self.chance.randrange(step)
-        self.ask_ns = self.now + (self.asking.retry_ns(self.list_fails) if self.asking.shared else after)
+        shared = self.asking.shared and asked
+        self.ask_ns = self.now + (self.asking.retry_ns(self.list_fails) if shared else after)
         self.actions.append(Log("server list: call failed, asking again"))
--- a/puffinpost/wiring/node.py
+++ b/puffinpost/wiring/node.py
@@ -13,6 +13,7 @@
 from puffinpost.bans import Bans
 from puffinpost.core import Core
 from puffinpost.counters import Counters
+from puffinpost.following.calls import Following
 from puffinpost.fronts.platform import PlatformFront
 from puffinpost.interface import Result, ServerId
 from puffinpost.inventory import Inventory, InventoryError
@@ -75,8 +76,8 @@
                          self.counters)
         self.prober = Prober(lambda: self.core.settings.report_fields, self.core.probed)
         self.watch = Watch(
-            told.discovery, lambda: self.inventory.index, self._told, self.core.inventory_failed,
-            self.core.balancer.asking.shared and bool(told.known),
+            told.discovery, Following(self.core.balancer.asking.shared, bool(told.known)),
+            lambda: self.inventory.index, self._told, self.core.inventory_failed,
         )
         if told.trace:
             self.core.trace = log.trace
@@ -213,6 +214,7 @@
         classes = ", ".join(name for name in self.config.classes if name not in self.config.closed)
         log.say(f"reload: discovery at {host}:{port}, classes {classes}{waiting}")
         self.core.retune(self.config.settings, self.config.classes, self.config.closed)
+        self.inventory.another = self.inventory.another or self.config.discovery != self.watch.address
         self.watch.redirect(self.config.discovery)
 
     async def _take_place(self) -> None:
--- /dev/null
+++ b/tests/test_drain_rule.py
@@ -0,0 +1,177 @@
+"""The drain rule, held against whole fleets on a virtual clock, and against the real calls to discovery."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+from conftest import World
+from standins import SETTINGS, Server
+from test_node import OPEN, first_of, fresh
+from test_reload import moved
+
+from puffinpost.emulator.fleet.clock import MS, S
+from puffinpost.emulator.fleet.rule import GOES_ON_NS, DrainRule
+from puffinpost.emulator.fleet.world import Fleet
+from puffinpost.following.calls import PACE_NS, Call, End, Following
+from puffinpost.inventory import Inventory
+from puffinpost.net.discovery import Watch
+
+CHUNKS = 10
+A_WATCH = 20 * S
+
+
+def size(seed: int) -> int:
+    return 200 if seed % 100 == 99 else 40 if seed % 20 == 19 else 2 + seed % 9
+
+
+@pytest.mark.parametrize("chunk", range(CHUNKS))
+def test_no_node_sends_where_it_was_told_not_to(chunk: int) -> None:
+    sends = 0
+    for seed in range(chunk, 500, CHUNKS):
+        fleet = Fleet(seed, size(seed)).run()
+        assert fleet.rule.breaches == [] and fleet.twice == 0, (seed, fleet.trouble, fleet.rule.breaches[:3])
+        sends += fleet.rule.sends
+    assert sends > 5000
+
+
+def test_a_thousand_nodes_keep_it_too() -> None:
+    fleet = Fleet(2, 1000, span_s=12).run()
+    assert fleet.rule.breaches == [] and fleet.rule.sends > 2000
+
+
+def broken(seeds: range, rest_s: float = 0.0, looks: bool = True) -> bool:
+    return any(Fleet(seed, size(seed), rest_s=rest_s, looks=looks).run().rule.breaches for seed in seeds)
+
+
+def test_a_rest_after_an_answer_is_found() -> None:
+    assert broken(range(8), rest_s=5.0)
+
+
+def test_a_core_that_does_not_look_again_before_a_first_byte_is_found() -> None:
+    assert broken(range(30, 50), looks=False)
+
+
+def ruled(ask_within_s: int = 10) -> DrainRule:
+    rule = DrainRule()
+    rule.node(1, 0, ask_within_s * S)
+    return rule
+
+
+def test_what_is_written_counts_as_told() -> None:
+    rule = ruled()
+    rule.called(1, A_WATCH, S)
+    rule.changed("a", False, 2 * S)
+    rule.answered(1, 1, 3 * S)
+    rule.sent(1, "a", 3 * S + 550 * MS)
+    rule.sent(1, "b", 9 * S)
+    assert rule.breaches == []
+    rule.sent(1, "a", 3 * S + 551 * MS)
+    assert [(it.server, it.late_ns) for it in rule.breaches] == [("a", 551 * MS)]
+
+
+@pytest.mark.parametrize(("after_ms", "told"), [(199, True), (200, False)])
+def test_a_watch_goes_on_for_a_while_after_its_answer(after_ms: int, told: bool) -> None:
+    rule = ruled()
+    rule.called(1, A_WATCH, S)
+    rule.answered(1, 0, 2 * S)
+    rule.changed("a", False, 2 * S + after_ms * MS)
+    rule.sent(1, "a", 4 * S)
+    assert (rule.breaches != []) is told
+
+
+@pytest.mark.parametrize(("wait_ns", "told_s"), [(A_WATCH, 23), (0, 7)])
+def test_what_does_not_arrive_counts_as_told_in_the_end(wait_ns: int, told_s: int) -> None:
+    rule = ruled()
+    rule.called(1, wait_ns, S)
+    rule.changed("a", False, 2 * S)
+    rule.sent(1, "a", told_s * S + 550 * MS)
+    assert rule.breaches == []
+    rule.sent(1, "a", told_s * S + 551 * MS)
+    assert len(rule.breaches) == 1
+
+
+@pytest.mark.parametrize(("failed", "told_s"), [(True, 42), (False, 11)])
+def test_who_does_not_ask_counts_as_told(failed: bool, told_s: int) -> None:
+    rule = ruled()
+    if failed:
+        rule.called(1, 0, S)
+        rule.failed(1, 2 * S)
+    rule.changed("a", False, S)
+    rule.sent(1, "a", told_s * S + 550 * MS)
+    assert rule.breaches == []
+    rule.sent(1, "a", told_s * S + 551 * MS)
+    assert len(rule.breaches) == 1
+
+
+def test_no_word_is_asked_after_at_once_and_a_failure_rests() -> None:
+    following = Following(shares=True, known=True)
+    assert following.call(7) == Call(7, 20_000, 21 * S)
+    assert following.answered(True, 0) == 0 and following.answered(False, 20 * S) == 0
+    assert following.answered(False, MS) == PACE_NS < GOES_ON_NS
+    assert not following.ended(End.OVERRUN) and following.call(7).after == 7
+    assert following.ended(End.SILENT) and following.call(7).after is None
+    following.answered(True, MS)
+    assert not following.ended(End.UNREACHED) and following.call(7).after is None
+
+
+def entry(status: str, since_ms: int = 0) -> dict[str, object]:
+    return {"name": "a", "address": "127.0.0.1:1", "zone": "z", "type": "k", "status": status,
+            "since_ms": since_ms}
+
+
+@pytest.mark.parametrize("left_out", [False, True])
+def test_another_discovery_that_is_behind_takes_back_no_drain(left_out: bool) -> None:
+    inventory = Inventory(("z",), ("k",))
+    inventory.take({"index": 3, "snapshot": True, "endpoints": [entry("up")]})
+    gone = [] if left_out else [entry("draining")]
+    inventory.take({"index": 4, "snapshot": True, "endpoints": gone})
+    inventory.another = True
+    inventory.take({"index": 900, "snapshot": True, "endpoints": [entry("up")]})
+    server = inventory.identify("a")
+    assert not inventory.takes_work(server)
+    inventory.take({"index": 901, "snapshot": False, "endpoints": [entry("up", 5)]})
+    assert inventory.takes_work(server)
+
+
+def test_the_watch_goes_on_within_its_time_after_each_answer() -> None:
+    """On real sockets: two hundred nodes' settings, and a list that changes at once, again and again."""
+    gaps: list[float] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        answered = 0.0
+        for index in range(2, 9):
+            await reader.readuntil(b"\r\n\r\n")
+            gaps.append(time.monotonic() - answered)
+            body = b'{"index":%d,"snapshot":false,"endpoints":[]}' % index
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+            answered = time.monotonic()
+        over.set()
+        writer.close()
+
+    over = asyncio.Event()
+
+    async def play() -> None:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        watch = Watch(server.sockets[0].getsockname()[:2], Following(True, True), lambda: 1,
+                      lambda told: None, lambda asked: None)
+        watch.start()
+        await asyncio.wait_for(over.wait(), 30)
+        server.close()
+
+    asyncio.run(play())
+    assert max(gaps[1:7]) < GOES_ON_NS / S
+
+
+def test_lists_that_are_pushed_are_asked_for_at_their_agent(world: World) -> None:
+    """Where settings say so the decisions wait for lists to come; on sockets somebody has to fetch them."""
+    node = world.start(settings={"Discovery": "pushed"})
+    client = node.client(fresh(OPEN % 3000))
+    server, relay = first_of(world.servers)
+    relay.line()
+    relay.send(b"UP 1\r\n")
+    assert client.line() == b"UP 1\r\n"
+    assert isinstance(server, Server) and SETTINGS["Discovery"] == "on_request"
+    world.discovery.tell(f"s-{world.servers.index(server)}", server.address, "draining")
+    assert moved(client)
