Groups stay together where each server pays for them; what is over a share gives way

Change: with FamilyInfo.Groups a connection goes to who holds its group, else by the group's order, the first with room; nothing is moved to even out. Who holds more than its slice of TenantQuotaConnections, a swing allowed for, gets room up to IDLE, and is refused at once where the fleet is short. What leaves is worth least for its load.

--- /dev/null
+++ b/puffinpost/decisions/shares.py
@@ -0,0 +1,51 @@
+"""What tenants hold of their shares, as one node sees it, and who gives way first where room is short.
+
+What a tenant has over its share is worth little (``OverShareWorth``). A node sees its own slice only: as the
+front spreads clients over all nodes, it takes its slice for an even part of what all hold.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Iterable
+
+from puffinpost.interface import RequestClass, Tenant
+
+IDLE = 0.5  # what is over a share fills a server up to this load: it is no cap on room that nobody uses
+SCARCE = 0.6  # mean load of the fleet past which it is refused at once, and moved first
+
+
+class Shares:
+    """One node's connections and attempts, by tenant."""
+
+    def __init__(self) -> None:
+        self.held: Counter[int] = Counter()
+
+    def over(self, tenant: int, tenants: tuple[Tenant, ...], balancers: int) -> bool:
+        """Whether a tenant holds more than its share (``FamilyInfo.TenantQuotaConnections``, for all nodes).
+
+        An even slice swings by its root, as counts that come by chance do: one swing is allowed for. Without
+        tenants, or without a share in connections, nobody is over.
+        """
+        part = tenants[tenant].quota_connections / balancers if tenant < len(tenants) else 0.0
+        return 0.0 < part + math.sqrt(part) < self.held[tenant]
+
+
+def worth_kept(klass: RequestClass, load: float, over_worth: float) -> float:
+    """Worth a second for each unit of load: what a server loses least by moving goes first.
+
+    ``over_worth``: the part of the worth that counts, 1 within the share. A load of nothing is worth most.
+    """
+    return klass.worth * over_worth / max(load, 1e-9)
+
+
+def homes(groups: Iterable[bool]) -> list[int]:
+    """The order in which servers are taken for a group's connection, each given by whether it holds any.
+
+    Every server that holds any of a group pays for it once (``FamilyInfo.Groups``; 1.5 mean loads on the
+    operators' page), so spreading a group fills the fleet. Who holds it comes first, else the order stands:
+    it is drawn by the group's hash, so all nodes go to the same ones.
+    """
+    marks = list(groups)
+    return sorted(range(len(marks)), key=lambda at: not marks[at])
--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -18,6 +18,7 @@
 from puffinpost.decisions.asking import Asking
 from puffinpost.decisions.delays import Delay
 from puffinpost.decisions.leaving import leaving_chance, load_after, stands_ns
+from puffinpost.decisions.shares import IDLE, SCARCE, Shares, homes, worth_kept
 from puffinpost.decisions.silence import Silence
 from puffinpost.interface import (
     NEVER_RAN, Action, Banned, Cancel, ClientGone, DelayNote, Effect, Established, Event, Fail, Inherited,
@@ -34,10 +35,11 @@
 CLAMP_RATIO = 16.0  # ceiling over floor of one placement's inflation, as the paper's 0.5 to 8 Mbps
 GUESSED_FULLNESS = 0.5  # share of the fleet taken to be in use while reports do not show more
 TICKS_PER_AIM = 20  # housekeeping runs this often in the shortest aim: fine enough to be felt by no client
+HOMES_ASKED = 2  # of a group's servers, in their order, whose old reports a placement waits for
 CHOICES = 4  # servers of its own zone that a connection's score is taken over, and as many elsewhere
 FRESH_AIMS = 2.0  # a report younger than this many aims is not asked for again
 HOLD_AIMS = 0.1  # a placement waits for its candidates' reports for this part of the aim at most
-FULL = 0.9  # no connection is placed on a server whose predicted load is past this: it would serve none
+FULL = 0.8  # no connection is placed on a server whose predicted load is past this: loads swing
 HOLD_DOUBLINGS = 4  # a request held again and again is looked at this much more rarely
 CROSS_POINTS = 10000.0  # points off for crossing zones, times the fee: 0.03 is a tenth of the load
 PROBES_PER_REQUEST = 3.0  # what probing may cost stays a small, fixed part of what the traffic costs
@@ -51,7 +53,7 @@
 CROWDED_RATIO = 1.25  # ... this much; its load is brought down to the fleet's mean, or to ...
 ROOMY = 0.65  # past this mean of the fleet there is nowhere better to go: then only a server past ...
 OVER = 1.05  # ... this is eased, so that the rest of its connections are served, down to ...
-DRAINED = 0.7  # ... this: work piled up has to drain before anything is served again
+DRAINED = 0.85  # ... this: work piled up has to drain before anything is served again
 EASED = 0.6  # ... this where the mean is lower: no more moves than are of use
 SHOWN = 0.85  # a report under this part of the one that was answered shows that moves have worked
 LATE_AIMS = 12.0  # a report that does not show them is taken to be late for this many aims
@@ -188,6 +190,7 @@
         self.setting_up = 0  # attempts out that do not stand yet
         self.window = WINDOW_MOST  # and how many there may be
         self.own_load = 0.0
+        self.shares = Shares()
         self.mean_load = 0.0
         self.load_after = 0.0  # once what drains has left
         self.spread = float(settings.balancers)  # connections of all balancers for each one of this one's
@@ -533,6 +536,7 @@
         server.own[flow.request] = flow
         server.own_load += flow.estimate
         self.own_load += flow.estimate
+        self.shares.held[flow.tenant] += 1
         if flow.group:
             server.groups[flow.group] = server.groups.get(flow.group, 0) + 1
 
@@ -542,6 +546,7 @@
             return
         server.own_load = max(0.0, server.own_load - flow.estimate) if server.own else 0.0
         self.own_load = max(0.0, self.own_load - flow.estimate)
+        self.shares.held[flow.tenant] -= 1
         if flow.group:
             left = server.groups.get(flow.group, 0) - 1
             if left > 0:
@@ -606,7 +611,11 @@
         """The candidates of a placement: the next few of this zone and the next few elsewhere."""
         if flow.order_version != self.list_version:
             self._order(flow)
-        picked: list[Server] = []
+        if flow.group and self.settings.groups:
+            picked = self._homes(flow)
+            if picked or flow.drawn:
+                return picked
+        picked = []
         for servers in (flow.near, flow.far):
             skip = CHOICES * flow.drawn
             for server in servers:
@@ -628,6 +637,20 @@
                        and it.aside_until <= self.now and self._may_send(flow, it) and self._cold_room(it)]
         return picked
 
+    def _homes(self, flow: Flow) -> list[Server]:
+        """The candidates of a connection whose group pays at each server that holds any of it, best first."""
+        picked: list[Server] = []
+        for servers in (flow.near, flow.far):
+            may = [it for it in servers if it.aside_until <= self.now and self._may_send(flow, it)
+                   and it.id not in flow.tried and self._cold_room(it)]
+            picked += [may[at] for at in homes(flow.group in it.groups for it in may)]
+        return picked
+
+    def _over(self, tenant: int) -> bool:
+        """Whether a tenant has to give way: room is short, and it holds more than its share."""
+        scarce = self.mean_load > SCARCE
+        return scarce and self.shares.over(tenant, self.settings.tenants, self.settings.balancers)
+
     def _load(self, server: Server) -> float:
         """The load as reported, or as this balancer's own books say where that is more.
 
@@ -660,6 +683,8 @@
             return False
         if server.load is None:
             return True
+        if self.shares.over(flow.tenant, self.settings.tenants, self.settings.balancers):
+            return self._predicted(server) < IDLE
         if self.mean_load <= ROOMY:
             return self._predicted(server) < FULL
         one = self._estimate(flow, server) * self.settings.balancers
@@ -676,6 +701,8 @@
         open_ones = [it for it in answering if self._has_room(it, flow)]
         if not open_ones:
             return None
+        if flow.group and self.settings.groups and not self.called:
+            return open_ones[0]
         return max(open_ones, key=lambda it: (
             it.id in self.called, self._score(it, flow), self.chance.random()
         ))
@@ -778,6 +805,9 @@
         if not flow.asked and self._ask_candidates(flow, sample):
             return
         server = self._choose(flow, sample)
+        if server is None and self._over(flow.tenant):
+            self._answer(flow)
+            return
         if server is None:
             flow.drawn, flow.asked = flow.drawn + 1, False
             flow.hold_until = self.now
@@ -956,7 +986,8 @@
         flow.asked = True
         if not self.can_probe:
             return False
-        for server in sample:
+        first = HOMES_ASKED if flow.group and self.settings.groups else len(sample)
+        for server in sample[:first]:
             if self._may_probe(server):
                 self._probe(server)
                 server.watchers.append(flow)
@@ -1007,6 +1038,8 @@
         """
         if server.load is None or self.now < server.moved_ns or self._off(server):
             return
+        if self.settings.groups:
+            return  # wherever it goes its group pays anew: evening out fills the fleet
         mean = self.mean_load
         if mean <= ROOMY:
             if server.load <= max(CROWDED, mean * CROWDED_RATIO):
@@ -1024,18 +1057,26 @@
         server.moved_load = server.load
 
     def _shed(self, server: Server, part: float) -> None:
-        """Moves this part of this balancer's own load on a server, rounded by chance: all do the same."""
+        """Moves this part of this balancer's own load on a server, rounded by chance: all do the same.
+
+        What is worth least for its load goes first, and by chance where that is alike.
+        """
         wanted = server.own_load * part
         if wanted <= 0.0 or self._off(server):
             return
         standing = self._standing(server)
         self.chance.shuffle(standing)
+        standing.sort(key=self._worth)
         for flow in standing:
             if wanted < flow.estimate * self.chance.random():
                 break
             wanted -= flow.estimate
             self._move([flow])
 
+    def _worth(self, flow: Flow) -> float:
+        part = self.settings.over_share_worth if self._over(flow.tenant) else 1.0
+        return worth_kept(flow.klass, flow.estimate, part)
+
     @staticmethod
     def _standing(server: Server) -> list[Flow]:
         """The connections that stand there and are not on their way."""
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,171 @@
+"""Groups that pay at each server, tenants over their share, and who gives way: decisions, no sockets."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+from world import MS, PLAIN, S, Driver, line, of, only
+
+from puffinpost import interface as api
+from puffinpost.decisions.shares import Shares, worth_kept
+
+NODES = 4
+TENANTS = (api.Tenant(share=0.5, quota_connections=60.0), api.Tenant(share=0.5, quota_connections=60.0))
+GROUPS = replace(PLAIN, balancers=NODES, zones=1, groups=True, max_attempts=5, report_fields=("x0",))
+SHARED = replace(GROUPS, groups=False, tenants=TENANTS, over_share_worth=0.1)
+ROOM = 50  # connections that fill one of the servers
+
+
+class Fleet:
+    """Nodes, and four servers that report what they hold; a connection lives for ten seconds."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.nodes = [Driver(replace(settings, me=me), *map(line, range(1, 5)), seed=seed * 100 + me)
+                      for me in range(NODES)]
+        self.chance = random.Random(seed)
+        self.open: dict[tuple[int, int], tuple[int, int, int]] = {}  # server, tenant, until when
+        self.asked: dict[tuple[int, int], int] = {}
+        self.stood: Counter[int] = Counter()
+        self.pairs: set[tuple[int, int]] = set()
+        self.refused_ns: list[int] = []
+
+    def load(self, server: int) -> float:
+        return sum(at == server for at, _, _ in self.open.values()) / ROOM
+
+    def do(self, number: int, actions: list[api.Action], now: int) -> None:
+        node = self.nodes[number]
+        for action in actions:
+            if isinstance(action, api.Probe):
+                answer = api.ProbeResult(action.server, api.Result.SERVED, MS, (self.load(action.server),))
+                self.do(number, node.give(answer), now)
+            elif isinstance(action, api.Send):
+                group, tenant = divmod(self.asked[number, action.request], 10)
+                self.open[number, action.request] = (action.server, tenant, now + 10 * S)
+                self.stood[tenant] += 1
+                self.pairs.add((group, action.server))
+                self.do(number, node.give(api.Established(action.request, 0, action.server, 5 * MS)), now)
+            elif isinstance(action, api.Move):
+                self.end(number, action.request)
+            elif isinstance(action, api.Refuse):
+                self.refused_ns.append(now)
+
+    def end(self, number: int, request: int) -> None:
+        server = self.open.pop((number, request))[0]
+        self.nodes[number].end(request, 0, server, api.Result.SERVED, finished=True)
+
+    def second(self, arrivals: dict[int, int], groups: int = 1) -> None:
+        """One second with so many arrivals of each tenant."""
+        coming = [tenant for tenant, count in arrivals.items() for _ in range(count)]
+        self.chance.shuffle(coming)
+        step = S // 50
+        for tick in range(50):
+            for number, node in enumerate(self.nodes):
+                self.tick(number, node, step)
+            for key in [it for it, (_, _, until) in self.open.items() if until <= self.nodes[0].now]:
+                self.end(*key)
+            for tenant in coming[tick::50]:
+                number = self.chance.randrange(NODES)
+                self.ask(number, tenant, self.chance.randrange(1, groups + 1))
+
+    def tick(self, number: int, node: Driver, step: int) -> None:
+        end = node.now + step
+        while node.timers and min(node.timers)[0] <= end:
+            due = min(node.timers)
+            node.timers.remove(due)
+            node.now = max(node.now, due[0])
+            self.do(number, node.give(api.TimerDue(due[2])), node.now)
+        node.now = end
+
+    def ask(self, number: int, tenant: int, group: int) -> None:
+        node = self.nodes[number]
+        node.last, node.next = node.next, node.next + 1
+        self.asked[number, node.last] = tenant + 10 * group
+        request = api.Request(node.last, 0, node.now + 2 * S, tenant=tenant, group=group)
+        self.do(number, node.give(request), node.now)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_flood_takes_no_room_of_the_one_inside_its_share(seed: int) -> None:
+    calm, flood = Fleet(SHARED, seed), Fleet(SHARED, seed)
+    for second in range(20):
+        calm.second({0: 5, 1: 5})
+        flood.second({0: 5, 1: 30 if 5 <= second < 15 else 5})
+    # Six times its share for ten seconds: the other's served part stays within a twentieth.
+    assert flood.stood[0] > calm.stood[0] - 0.05 * 100
+    # What room there is it gets: more than its share, less than what it asked for.
+    assert 1.15 * calm.stood[1] < flood.stood[1] < 300
+
+
+def test_a_tenant_over_its_share_is_refused_at_once_where_room_is_short() -> None:
+    node = Driver(replace(SHARED, balancers=1), line(1), line(2))
+    for _ in range(68):
+        node.last, node.next = node.next, node.next + 1
+        node.give(api.Inherited(api.Request(node.last, 0, node.now + 2 * S, tenant=1), 1))
+    for server in (1, 2):
+        node.report(server, 0.7)
+    node.run(S)
+    for server in (1, 2):
+        node.report(server, 0.7)
+    assert of(node.ask(tenant=1), api.Refuse) != []
+    assert of(node.ask(tenant=0), api.Send) != []
+
+
+def placed(settings: api.Settings, seed: int) -> Fleet:
+    fleet = Fleet(settings, seed)
+    for _ in range(8):
+        fleet.second({0: 8}, groups=8)
+    return fleet
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_group_stays_together_where_each_server_pays_for_it(seed: int) -> None:
+    together, spread = placed(GROUPS, seed), placed(replace(GROUPS, groups=False), seed)
+    assert together.stood[0] == spread.stood[0] == 64
+    # Eight groups: at one server each, at a few a second one. Of four nodes, none talks to another.
+    assert len(together.pairs) <= 12 < 20 < len(spread.pairs)
+    assert max(together.load(server) for server in range(1, 5)) < 1.0
+
+
+def test_connections_of_groups_are_not_moved_to_even_out() -> None:
+    moves = []
+    for groups in (True, False):
+        node = Driver(replace(GROUPS, groups=groups, balancers=1), line(1), line(2))
+        for _ in range(40):
+            node.last, node.next = node.next, node.next + 1
+            node.give(api.Inherited(api.Request(node.last, 0, node.now + 2 * S, group=7), 1))
+        node.report(2, 0.1)
+        node.run(S)
+        moves.append(len(of(node.report(1, 0.95), api.Move)))
+    assert moves[0] == 0 < moves[1]
+
+
+def test_what_is_worth_least_for_its_load_leaves_first() -> None:
+    """A slow server: two delay notes a second apart show that a part of the work there is too much."""
+    dear, cheap = replace(PLAIN.classes[0], worth=5.0), replace(PLAIN.classes[0], worth=1.0)
+    node = Driver(replace(GROUPS, classes=(dear, cheap), balancers=1), line(1), line(2))
+    for number in range(20):
+        node.last, node.next = node.next, node.next + 1
+        node.give(api.Inherited(api.Request(node.last, number % 2, node.now + 2 * S, load=100), 1))
+    node.give(api.DelayNote(1, 1, 200 * MS))
+    node.now += S
+    moved = of(node.give(api.DelayNote(1, 1, 700 * MS)), api.Move)
+    assert 2 <= len(moved) <= 10 and all(it.request % 2 == 0 for it in moved)
+
+
+def test_shares_and_worth_by_their_definitions() -> None:
+    shares = Shares()
+    shares.held[1] = 18  # of 15, and a swing of 3.9
+    assert not shares.over(1, TENANTS, 4)
+    shares.held[1] = 19
+    assert shares.over(1, TENANTS, 4) and not shares.over(0, TENANTS, 4) and not shares.over(2, TENANTS, 4)
+    assert not shares.over(1, (TENANTS[0], replace(TENANTS[1], quota_connections=0.0)), 4)
+    assert worth_kept(PLAIN.classes[0], 0.0, 1.0) > worth_kept(PLAIN.classes[0], 1.0, 1.0)
+    assert worth_kept(PLAIN.classes[0], 2.0, 1.0) == 10 * worth_kept(PLAIN.classes[0], 2.0, 0.1)
+
+
+def test_a_placement_of_a_group_is_found_by_all_nodes_alike() -> None:
+    nodes = [Driver(replace(GROUPS, me=me), *map(line, range(1, 9)), seed=me) for me in range(NODES)]
+    assert len({only(node.ask(group=5), api.Send).server for node in nodes}) == 1
