A group's connection goes to the best score again, among who holds it and the first others

Need: sent a group's connection to the first in order, but by the design the best score wins on the ordinary path; the bonus's size and the sampling are open. Change: who holds the group has a bonus of all three resources, and of the others only the first of this zone and the first elsewhere are scored (decisions/shares.few).

--- a/puffinpost/decisions/shares.py
+++ b/puffinpost/decisions/shares.py
@@ -40,12 +40,18 @@
     return klass.worth * over_worth / max(load, 1e-9)
 
 
-def homes(groups: Iterable[bool]) -> list[int]:
-    """The order in which servers are taken for a group's connection, each given by whether it holds any.
+def few(servers: Iterable[tuple[bool, bool]]) -> list[int]:
+    """Which servers with room a group's connection is scored at, of those in the order of the group's hash.
 
-    Every server that holds any of a group pays for it once (``FamilyInfo.Groups``; 1.5 mean loads on the
-    operators' page), so spreading a group fills the fleet. Who holds it comes first, else the order stands:
-    it is drawn by the group's hash, so all nodes go to the same ones.
+    Each is given by whether it holds any of the group and whether it is in this zone. Every server that
+    holds any pays for the group once (``FamilyInfo.Groups``; 1.5 mean loads on the operators' page), so to
+    spread it fills the fleet: of the others only the first of this zone and the first elsewhere count. All
+    nodes draw the same order.
     """
-    marks = list(groups)
-    return sorted(range(len(marks)), key=lambda at: not marks[at])
+    picked, taken = [], set()
+    for at, (holds, near) in enumerate(servers):
+        if holds or near not in taken:
+            picked.append(at)
+        if not holds:
+            taken.add(near)
+    return picked
--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -18,7 +18,7 @@
 from puffinpost.decisions.asking import Asking
 from puffinpost.decisions.delays import Delay
 from puffinpost.decisions.leaving import leaving_chance, load_after, stands_ns
-from puffinpost.decisions.shares import IDLE, SCARCE, Shares, homes, worth_kept
+from puffinpost.decisions.shares import IDLE, SCARCE, Shares, few, worth_kept
 from puffinpost.decisions.silence import Silence
 from puffinpost.interface import (
     NEVER_RAN, Action, Banned, Cancel, ClientGone, DelayNote, Effect, Established, Event, Fail, Inherited,
@@ -31,6 +31,7 @@
 
 POINTS = 1000.0  # the most that one free resource gives, as in the paper
 GROUP_BONUS = 200.0  # as in the paper: worth a fifth of one resource
+KEEPS_GROUP = 3 * POINTS  # where groups pay at each server: one with room that holds it beats any other
 CATCH_UP_AIMS = 3.0  # a report covers a placement made this many aims before it: reports come late
 CLAMP_RATIO = 16.0  # ceiling over floor of one placement's inflation, as the paper's 0.5 to 8 Mbps
 GUESSED_FULLNESS = 0.5  # share of the fleet taken to be in use while reports do not show more
@@ -587,7 +588,7 @@
         band -= min(band, self._inflation(server) * POINTS / capacity)
         score = free + free + band
         if flow.group and flow.group in server.groups:
-            score += GROUP_BONUS
+            score += KEEPS_GROUP if self.settings.groups else GROUP_BONUS
         if server.zone != self.settings.zone:
             score -= self.settings.cross_fee * CROSS_POINTS
         return score
@@ -638,12 +639,13 @@
         return picked
 
     def _homes(self, flow: Flow) -> list[Server]:
-        """The candidates of a connection whose group pays at each server that holds any of it, best first."""
+        """The candidates of a connection whose group pays at each server that holds any; these first."""
         picked: list[Server] = []
         for servers in (flow.near, flow.far):
             may = [it for it in servers if it.aside_until <= self.now and self._may_send(flow, it)
                    and it.id not in flow.tried and self._cold_room(it)]
-            picked += [may[at] for at in homes(flow.group in it.groups for it in may)]
+            picked += [it for it in may if flow.group in it.groups]
+            picked += [it for it in may if flow.group not in it.groups]
         return picked
 
     def _over(self, tenant: int) -> bool:
@@ -701,8 +703,10 @@
         open_ones = [it for it in answering if self._has_room(it, flow)]
         if not open_ones:
             return None
-        if flow.group and self.settings.groups and not self.called:
-            return open_ones[0]
+        if flow.group and self.settings.groups:
+            marks = ((flow.group in it.groups, it.zone == self.settings.zone) for it in open_ones)
+            kept = {open_ones[at].id for at in few(marks)}.union(self.called)
+            open_ones = [it for it in open_ones if it.id in kept]
         return max(open_ones, key=lambda it: (
             it.id in self.called, self._score(it, flow), self.chance.random()
         ))
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -59,13 +59,14 @@
     assert world.balancer._score(world.balancer.servers[1], flow(world)) == 1000.0
 
 
-def test_the_bonus_goes_where_the_group_is_and_crossing_costs_by_its_fee() -> None:
-    world = Driver(replace(PLAIN, groups=True, cross_fee=0.03), line(1), line(2, zone=1))
+@pytest.mark.parametrize(("pays", "bonus"), [(False, 200.0), (True, 3000.0)])
+def test_the_bonus_goes_where_the_group_is_and_crossing_costs_by_its_fee(pays: bool, bonus: float) -> None:
+    world = Driver(replace(PLAIN, groups=pays, cross_fee=0.03), line(1), line(2, zone=1))
     for server in (1, 2):
         world.report(server, 0.5, 10.0)
     balancer = world.balancer
     balancer.servers[1].groups[7] = 1
-    assert balancer._score(balancer.servers[1], flow(world, group=7)) == 1700.0
+    assert balancer._score(balancer.servers[1], flow(world, group=7)) == 1500.0 + bonus
     assert balancer._score(balancer.servers[1], flow(world, group=8)) == 1500.0
     assert balancer._score(balancer.servers[2], flow(world, group=7)) == 1200.0
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -10,7 +10,7 @@
 from world import MS, PLAIN, S, Driver, line, of, only
 
 from puffinpost import interface as api
-from puffinpost.decisions.shares import Shares, worth_kept
+from puffinpost.decisions.shares import Shares, few, worth_kept
 
 NODES = 4
 TENANTS = (api.Tenant(share=0.5, quota_connections=60.0), api.Tenant(share=0.5, quota_connections=60.0))
@@ -166,6 +166,12 @@
     assert worth_kept(PLAIN.classes[0], 2.0, 1.0) == 10 * worth_kept(PLAIN.classes[0], 2.0, 0.1)
 
 
+def test_a_group_is_scored_where_it_is_and_at_the_first_of_the_others() -> None:
+    here, there = (False, True), (False, False)
+    assert few([here, here, there, (True, False), there, (True, True)]) == [0, 2, 3, 5]
+    assert few([]) == [] and few([there, here, here]) == [0, 1]
+
+
 def test_a_placement_of_a_group_is_found_by_all_nodes_alike() -> None:
     nodes = [Driver(replace(GROUPS, me=me), *map(line, range(1, 9)), seed=me) for me in range(NODES)]
     assert len({only(node.ask(group=5), api.Send).server for node in nodes}) == 1
