--- /dev/null
+++ b/tests/test_any_settings.py
@@ -0,0 +1,158 @@
+"""Whatever the settings say within the wire page: the rules hold over drawn events, and nothing fails."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+from world import MS, S, Driver
+
+from puffinpost import interface as api
+
+FIELDS = ("x0", "tps", "mean_ms", "err_ps", "concurrent", "inflight", "load_share")
+CLASSES = st.builds(
+    api.RequestClass, aim_ns=st.integers(50, 900).map(lambda it: it * MS),
+    deadline_ns=st.integers(1000, 5000).map(lambda it: it * MS), worth=st.sampled_from([0.0, 1.0, 5.0]),
+    effect=st.sampled_from(list(api.Effect)), scope=st.sampled_from(list(api.Scope)),
+    window_ns=st.sampled_from([0, 5 * S]), message_aim_ns=st.sampled_from([0, 50 * MS, 250 * MS]),
+)
+TENANTS = st.builds(api.Tenant, share=st.floats(0, 1), quota_connections=st.sampled_from([0.0, 3.0, 1000.0]),
+                    quota_per_s=st.sampled_from([0.0, 3.0]))
+SETTINGS = st.builds(
+    api.Settings, me=st.just(0), balancers=st.integers(1, 300), zone=st.just(0), zones=st.integers(1, 4),
+    kinds=st.integers(1, 3), classes=st.lists(CLASSES, min_size=1, max_size=4).map(tuple),
+    tenants=st.lists(TENANTS, max_size=5).map(tuple), over_share_worth=st.sampled_from([0.0, 0.1, 1.0]),
+    list_on_request=st.booleans(), ask_within_ns=st.sampled_from([0, 2 * S, 10 * S]),
+    drain_grace_ns=st.just(500 * MS), cold_from=st.floats(0.05, 1.0),
+    warm_within_ns=st.sampled_from([0, 24 * S]),
+    fall_multiple=st.floats(1.0, 4.0), fall_ns=st.just(2 * S), answer_slack_ns=st.just(16 * MS),
+    round_ns=st.sampled_from([1 * MS, 50 * MS]), max_attempts=st.integers(1, 8),
+    max_pause_ns=st.sampled_from([0, 2 * S]), pauses=st.booleans(),
+    probes=st.booleans(), cancels=st.booleans(),
+    report_fields=st.lists(st.sampled_from(FIELDS), max_size=4, unique=True).map(tuple),
+    weighted=st.booleans(), groups=st.booleans(), cross_fee=st.sampled_from([0.0, 0.1, 1.0]),
+    probe_fee=st.sampled_from([0.0, 0.1]), move_fee=st.sampled_from([0.0, 1.0]),
+)
+
+
+class Rules:
+    """Plays drawn events through the decisions, and holds what they answer against the rules."""
+
+    def __init__(self, told: api.Settings, seed: int) -> None:
+        self.told, self.chance = told, random.Random(seed)
+        self.truth = {number: self.line(number) for number in range(1, 7)}
+        self.out: dict[int, tuple[int, int]] = {}  # attempts out: which, and where
+        self.sent: dict[int, int] = {}
+        self.standing: set[int] = set()
+        self.answered: set[int] = set()
+        self.node = Driver(told, *self.truth.values(), seed=seed)
+        self.node.now += S
+
+    def line(self, number: int, status: api.Status = api.Status.READY) -> api.ServerLine:
+        chance, told = self.chance, self.told
+        return api.ServerLine(number, chance.randrange(told.zones), chance.randrange(told.kinds), 0, status,
+                              chance.choice([0.05, 1.0, 6.0]), chance.choice([0, self_now(chance)]))
+
+    def step(self) -> None:
+        chance = self.chance
+        often: list[Any] = [self.ask, self.wait, self.finish]
+        chance.choice([*often, *often, self.tell, self.note])()
+
+    def give(self, event: api.Event) -> None:
+        for action in self.node.give(event):
+            self.check(action)
+
+    def check(self, action: api.Action) -> None:
+        told = self.told
+        if isinstance(action, api.Send):
+            assert action.request not in self.out and action.request not in self.answered
+            assert self.truth[action.server].status is api.Status.READY and action.timeout_ns > 0
+            number = self.sent.get(action.request, 0)
+            assert number < told.max_attempts
+            self.sent[action.request] = number + 1
+            self.out[action.request] = (number, action.server)
+        elif isinstance(action, api.Refuse | api.Fail):
+            assert action.request not in self.answered and action.request not in self.standing
+            assert not isinstance(action, api.Refuse) or told.pauses or action.pause_ns == 0
+            self.answered.add(action.request)
+        elif isinstance(action, api.Move):
+            assert action.request in self.standing
+        elif isinstance(action, api.Probe):
+            assert told.probes
+            values = [0.0, 0.4, 0.9, 3.0, 50.0, float("nan")]
+            result = self.chance.choice([api.Result.SERVED, api.Result.TIMEOUT, api.Result.REJECTED])
+            count = len(told.report_fields) if result is api.Result.SERVED else 0
+            report = tuple(self.chance.choice(values) for _ in range(count))
+            self.give(api.ProbeResult(action.server, result, 2 * MS, report))
+        elif isinstance(action, api.Cancel):
+            assert told.cancels
+
+    def ask(self) -> None:
+        node, chance = self.node, self.chance
+        node.last, node.next = node.next, node.next + 1
+        klass = chance.randrange(len(self.told.classes))
+        load = chance.choice([None, 0, 100])
+        self.give(api.Request(node.last, klass, node.now + self.told.classes[klass].deadline_ns,
+                              chance.randrange(6), chance.getrandbits(48), chance.randrange(4), load))
+
+    def wait(self) -> None:
+        node = self.node
+        end = node.now + self.chance.choice([5, 60, 900]) * MS
+        while node.timers and min(node.timers)[0] <= end:
+            due = min(node.timers)
+            node.timers.remove(due)
+            node.now = max(node.now, due[0])
+            self.give(api.TimerDue(due[2]))
+        node.now = end
+
+    def finish(self) -> None:
+        if not self.out:
+            return
+        request = self.chance.choice(sorted(self.out))
+        number, server = self.out[request]
+        if request not in self.standing and request not in self.answered and self.chance.random() < 0.6:
+            self.standing.add(request)
+            self.give(api.Established(request, number, server, 5 * MS))
+            return
+        stood = request in self.standing
+        result = self.chance.choice([it for it in api.Result if stood or it is not api.Result.SERVED])
+        del self.out[request]
+        self.standing.discard(request)
+        over = stood or request in self.answered
+        if stood:
+            self.answered.add(request)
+        self.give(api.Outcome(request, number, server, result, over, 50 * MS))
+
+    def tell(self) -> None:
+        number = self.chance.choice(sorted(self.truth))
+        self.truth[number] = self.line(number, self.chance.choice(list(api.Status)))
+        self.give(api.ServerList(api.ListKind.DELTA, (self.truth[number],)))
+        self.give(api.ServerList(api.ListKind.FAILED, asked=self.chance.random() < 0.5))
+
+    def note(self) -> None:
+        server = self.chance.choice(sorted(self.truth))
+        for request in sorted(self.standing)[:1]:
+            self.give(api.LoadNote(request, self.chance.choice([0, 1, 10**9])))
+            self.give(api.DelayNote(request, server, self.chance.choice([0, 100, 5000]) * MS))
+            self.give(api.LineOwed(request, server, S))
+
+
+def self_now(chance: random.Random) -> int:
+    """A start not long ago, on the world's clock."""
+    return 5 * S + chance.randrange(S)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True, phases=[Phase.generate],
+          suppress_health_check=[HealthCheck.too_slow])
+@given(SETTINGS, st.integers(0, 2**32))
+def test_the_rules_hold_whatever_the_settings_say(told: api.Settings, seed: int) -> None:
+    rules = Rules(told, seed)
+    for _ in range(120):
+        rules.step()
+    until = rules.node.now + 6 * S  # longer than any client waits
+    while rules.node.now < until:
+        rules.wait()
+    # Who has no attempt out has an answer, whoever it was.
+    assert set(range(1, rules.node.next)) == rules.answered | set(rules.out) | rules.standing
