The drain rule is held over a real process too, and one that rests is found

Need: the issue asks for the rule's checker on a small world of real processes, with a planted rest. Change: a stand-in discovery and two transcribers tell the checker the calls, answers and first lines of one process with the settings of a shared fleet; a second one has a rest of 3 s planted after each answer.

--- a/tests/test_drain_rule.py
+++ b/tests/test_drain_rule.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import shlex
+import sys
+import threading
 import time
+from collections.abc import Callable
 
 import pytest
 from conftest import World
-from standins import SETTINGS, Server
+from standins import SETTINGS, Discovery, Node, Peer, Server
 from test_node import OPEN, first_of, fresh
 from test_reload import moved
 
@@ -175,3 +180,79 @@
     assert isinstance(server, Server) and SETTINGS["Discovery"] == "on_request"
     world.discovery.tell(f"s-{world.servers.index(server)}", server.address, "draining")
     assert moved(client)
+
+
+class Calls(list[int]):
+    """The calls that came, each told to a recorder."""
+
+    def __init__(self, saw: Callable[..., None]) -> None:
+        super().__init__()
+        self.saw = saw
+
+    def append(self, after: int) -> None:
+        super().append(after)
+        self.saw("called", 1, A_WATCH)
+
+
+class Recorded(Discovery):
+    """A discovery and two transcribers that tell the rule what they saw of one real process."""
+
+    def __init__(self) -> None:
+        self.rule, self.lock = ruled(), threading.Lock()
+        self.names = {f"s-{number}": Server() for number in range(2)}
+        self.kept: list[Peer] = []
+        super().__init__()
+        self.asked = Calls(self.saw)
+        for name, server in self.names.items():
+            threading.Thread(target=self.take, args=(name, server), daemon=True).start()
+
+    def saw(self, what: str, *details: object) -> None:
+        with self.lock:
+            getattr(self.rule, what)(*details, time.monotonic_ns())
+
+    def put(self, name: str, status: str) -> None:
+        self.saw("changed", name, status == "up")
+        self.tell(name, self.names[name].address, status)
+
+    def reply(self, body: bytes) -> list[bytes]:
+        with self.lock:
+            known = self.rule.changes[-1].number if self.rule.changes else 0
+            self.rule.answered(1, known, time.monotonic_ns())
+        return super().reply(body)
+
+    def take(self, name: str, server: Server) -> None:
+        with contextlib.suppress(OSError, EOFError):
+            while True:
+                peer = server.accept()
+                self.kept.append(peer)
+                peer.line()
+                self.saw("sent", 1, name)
+                peer.send(b"UP 1\r\n")
+
+
+REST = ("import puffinpost.following.calls as calls; calls.Following.answered = lambda *told: 3_000_000_000; "
+        "from puffinpost.__main__ import main; raise SystemExit(main())")
+
+
+@pytest.mark.parametrize("planted", [False, True])
+def test_a_real_process_keeps_the_rule_and_one_that_rests_is_found(world: World, planted: bool) -> None:
+    discovery = Recorded()
+    world.discovery = discovery
+    for name in discovery.names:
+        discovery.put(name, "up")
+    run = f"exec {sys.executable} -c {shlex.quote(REST)}" if planted else ""
+    rules = {**SETTINGS["Rules"], "AskWithinNs": 10 * S}
+    node = Node(world.folder, discovery, settings={"FleetSize": 21, "Rules": rules}, run=run)
+    world.nodes.append(node)
+    discovery.wait_calls(1)
+    clients = []
+    for turn in range(6):
+        leaves, stays = ("s-0", "s-1") if turn % 2 else ("s-1", "s-0")
+        discovery.put(stays, "up")
+        time.sleep(0.05)  # the next change comes just after the answer that this one makes
+        discovery.put(leaves, "draining")
+        for _ in range(24):
+            clients.append(node.client(fresh(OPEN % 500)))
+            time.sleep(0.03)
+    assert discovery.rule.sends > 60
+    assert (discovery.rule.breaches != []) is planted, discovery.rule.breaches
