--- a/tests/test_drain_rule.py
+++ b/tests/test_drain_rule.py
@@ -16,6 +16,7 @@
 from test_node import OPEN, first_of, fresh
 from test_reload import moved
 
+from puffinpost.core import Core
 from puffinpost.emulator.fleet.clock import MS, S
 from puffinpost.emulator.fleet.rule import GOES_ON_NS, DrainRule
 from puffinpost.emulator.fleet.world import Fleet
@@ -58,6 +59,13 @@
     assert broken(range(30, 50), looks=False)
 
 
+def test_a_long_rest_after_a_refused_connection_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Where no call was made the time to ask runs on; only a call that failed makes it longer."""
+    told = Core.inventory_failed
+    monkeypatch.setattr(Core, "inventory_failed", lambda core, asked=True: told(core, True))
+    assert broken(range(379, 380))
+
+
 def ruled(ask_within_s: int = 10) -> DrainRule:
     rule = DrainRule()
     rule.node(1, 0, ask_within_s * S)
