--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -15,7 +15,7 @@
 import math
 import random
 
-from puffinpost.decisions.asking import Asking
+from puffinpost.following.asking import Asking
 from puffinpost.decisions.delays import Delay
 from puffinpost.decisions.leaving import leaving_chance, load_after, stands_ns
 from puffinpost.decisions.shares import IDLE, SCARCE, Shares, few, worth_kept
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -9,7 +9,7 @@
 from world import MS, PLAIN, S, Driver, line, of
 
 from puffinpost import interface as api
-from puffinpost.decisions.asking import Asking
+from puffinpost.following.asking import Asking
 from puffinpost.decisions.leaving import load_after
 
 NODES = 40
