--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -40,7 +40,8 @@
 CHOICES = 4  # servers of its own zone that a connection's score is taken over, and as many elsewhere
 FRESH_AIMS = 2.0  # a report younger than this many aims is not asked for again
 HOLD_AIMS = 0.1  # a placement waits for its candidates' reports for this part of the aim at most
-FULL = 0.8  # no connection is placed on a server whose predicted load is past this: loads swing
+FULL = 0.9  # no connection is placed on a server whose predicted load is past this: it would serve none
+FULL_GROUPS = 0.8  # ... where groups pay at each server, and nothing is moved to even out
 HOLD_DOUBLINGS = 4  # a request held again and again is looked at this much more rarely
 CROSS_POINTS = 10000.0  # points off for crossing zones, times the fee: 0.03 is a tenth of the load
 PROBES_PER_REQUEST = 3.0  # what probing may cost stays a small, fixed part of what the traffic costs
@@ -54,7 +55,8 @@
 CROWDED_RATIO = 1.25  # ... this much; its load is brought down to the fleet's mean, or to ...
 ROOMY = 0.65  # past this mean of the fleet there is nowhere better to go: then only a server past ...
 OVER = 1.05  # ... this is eased, so that the rest of its connections are served, down to ...
-DRAINED = 0.85  # ... this: work piled up has to drain before anything is served again
+DRAINED = 0.7  # ... this: work piled up has to drain before anything is served again
+DRAINED_GROUPS = 0.85  # ... where groups pay: each that leaves pays anew elsewhere
 EASED = 0.6  # ... this where the mean is lower: no more moves than are of use
 SHOWN = 0.85  # a report under this part of the one that was answered shows that moves have worked
 LATE_AIMS = 12.0  # a report that does not show them is taken to be late for this many aims
@@ -209,6 +211,7 @@
         """Settings come into force, at the start or later. A request keeps the class that it came under."""
         self.settings = settings
         self.aim_ns = min(item.aim_ns for item in settings.classes)
+        self.full, self.drained = (FULL_GROUPS, DRAINED_GROUPS) if settings.groups else (FULL, DRAINED)
         self.asking = Asking(settings.balancers, settings.ask_within_ns, self.chance)
         self.stands_ns = stands_ns([item.deadline_ns for item in settings.classes])
         self.message_aim_ns = min(
@@ -688,10 +691,10 @@
         if self.shares.over(flow.tenant, self.settings.tenants, self.settings.balancers):
             return self._predicted(server) < IDLE
         if self.mean_load <= ROOMY:
-            return self._predicted(server) < FULL
+            return self._predicted(server) < self.full
         one = self._estimate(flow, server) * self.settings.balancers
         capacity = self._capacity(server)
-        return self._load(server) + (self._inflation(server) + one * server.lot) / capacity < FULL
+        return self._load(server) + (self._inflation(server) + one * server.lot) / capacity < self.full
 
     def _choose(self, flow: Flow, sample: list[Server]) -> Server | None:
         """The best of the candidates; one that owes its report for too long only if no other is left.
@@ -768,7 +771,7 @@
         if server.delay.misses(self.message_aim_ns, self.now):
             if self.can_probe and self._may_probe(server):
                 self._probe(server)
-            self._shed(server, server.delay.excess(DRAINED, int(CATCH_UP_AIMS * self.aim_ns)))
+            self._shed(server, server.delay.excess(self.drained, int(CATCH_UP_AIMS * self.aim_ns)))
 
     # --- request life cycle: attempts, deadlines, effect kinds, final answer ------------------------
 
@@ -1052,7 +1055,7 @@
                 return  # guards against late reports: this one does not show the last move yet
             goal = max(EASED, mean)
         elif server.load > OVER:
-            goal = DRAINED
+            goal = self.drained
         else:
             return
         self._shed(server, 1.0 - goal / server.load)
