--- a/puffinpost/emulator/fleet/node.py
+++ b/puffinpost/emulator/fleet/node.py
@@ -28,8 +28,6 @@
     looks: bool
     slow_dials: float
     per_s: float
-    asked: int
-    answered: int
     twice: int
 
 
@@ -126,7 +124,6 @@
     def arrive(self) -> None:
         """A client asks, and the next one some time later."""
         wait_ms = self.chance.choice((1200, 2000, 4800))
-        self.world.asked += 1
         self.core.open(Message(0, wait_ms * MS, key=self.chance.getrandbits(32)), Client(self))
         self.clock.call_later(int(self.chance.expovariate(self.world.per_s) * S), self.arrive)
 
@@ -182,5 +179,4 @@
 
     def _final(self) -> None:
         self.answers += 1
-        self.node.world.answered += 1
         self.node.world.twice += self.answers > 1
--- a/puffinpost/emulator/fleet/rule.py
+++ b/puffinpost/emulator/fleet/rule.py
@@ -87,7 +87,6 @@
         self.nodes: dict[int, Told] = {}
         self.breaches: list[Breach] = []
         self.sends = 0
-        self.behind_ns = 0  # the longest that a node counted as told and had not been written to
 
     def node(self, number: int, began_ns: int, ask_within_ns: int) -> None:
         """A process of a node starts, with the list as it is."""
@@ -150,5 +149,4 @@
                 continue
             at_ns = told.deemed_ns(change)
             if at_ns is not None and at_ns <= now_ns:
-                self.behind_ns = max(self.behind_ns, now_ns - at_ns)
                 told.tell(change, at_ns)
--- a/puffinpost/emulator/fleet/world.py
+++ b/puffinpost/emulator/fleet/world.py
@@ -22,7 +22,7 @@
         self.clock, self.rule = Clock(), DrainRule()
         self.chance = chance = random.Random(seed)
         self.rest_s, self.looks = rest_s, looks
-        self.asked = self.answered = self.twice = 0
+        self.twice = 0  # final answers beyond the first
         self.slow_dials = chance.choice((0.0, 0.3))
         self.per_s = chance.choice((1.0, 4.0)) if nodes <= 40 else 0.3
         self.span_ns = int(span_s * S)
@@ -105,6 +105,6 @@
             self.clock.call_later(chance.randrange(1, 60) * MS, self._change)
 
     def run(self) -> Fleet:
-        """Plays it to its end, with time for the last answers."""
+        """Plays it to its end."""
         self.clock.run(self.span_ns)
         return self
--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -15,11 +15,11 @@
 import math
 import random
 
-from puffinpost.following.asking import Asking
 from puffinpost.decisions.delays import Delay
 from puffinpost.decisions.leaving import leaving_chance, load_after, stands_ns
 from puffinpost.decisions.shares import IDLE, SCARCE, Shares, few, worth_kept
 from puffinpost.decisions.silence import Silence
+from puffinpost.following.asking import Asking
 from puffinpost.interface import (
     NEVER_RAN, Action, Banned, Cancel, ClientGone, DelayNote, Effect, Established, Event, Fail, Inherited,
     LineOwed, ListKind, LoadNote, Log, Memory, Move, Outcome, Probe, ProbeResult, Refuse, Request,
