Balancer is split by concern under decisions/; the simulator's wire is a package

Change: books, capacity, cold starts, choice, window, probing, moves, health, table and the life of a request are classes of their own over shared books; Balancer passes events on. State of servers and requests, and what is handed to a successor, decide nothing and stand outside policy; when discovery is asked is all in following/asking. wire.py and simhost.py are hosting/.

--- a/puffinpost/config/node.py
+++ b/puffinpost/config/node.py
@@ -22,7 +22,7 @@
 from puffinpost.config.problems import ConfigError
 from puffinpost.edge.limits import Limits
 from puffinpost.inventory import parse_address
-from puffinpost.wire import parse_settings
+from puffinpost.hosting.wire import parse_settings
 
 # What the node itself holds: three standard streams, the loop's three, a listener and a spare each front, a
 # connection each to discovery, the collector and the transcribers that are probed.
--- a/puffinpost/core.py
+++ b/puffinpost/core.py
@@ -446,7 +446,7 @@
     def describe(self, exchange: Exchange) -> dict[str, Any]:
         """What another process of this node has to know of a connection that stands."""
         message = exchange.message
-        flow = self.balancer.flows.get(exchange.number)
+        flow = self.balancer.books.flows.get(exchange.number)
         return {
             "class": self.class_names[message.klass], "at": exchange.at, "key": message.key,
             "server": self.inventory.name(exchange.relay.server) if exchange.relay is not None else "",
--- /dev/null
+++ b/puffinpost/hosting/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions on the simulator's wire."""
--- a/puffinpost/simhost.py
+++ b/puffinpost/hosting/simhost.py
@@ -6,7 +6,7 @@
 import traceback
 from typing import BinaryIO
 
-from puffinpost import wire
+from puffinpost.hosting import wire
 from puffinpost.interface import Action
 from puffinpost.rules import Balancer
 
@@ -65,7 +65,7 @@
             sink.write(host.answer(frame))
             sink.flush()
     except wire.WireError as problem:
-        print(f"puffinpost.simhost: batch {number}: {problem}", file=sys.stderr)
+        print(f"puffinpost.hosting.simhost: batch {number}: {problem}", file=sys.stderr)
         return 2
     return 0
 
--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -138,7 +138,7 @@
     assert world.open().server == 1  # one is enough to show that it is back
     if told == "a start later":
         world.give(api.ServerList(api.ListKind.DELTA, (line(2, zone=1, started_ns=started),)))
-    assert world.balancer.servers[2].cold_ns == (back if told == "nothing" else started)
+    assert world.balancer.books.servers[2].cold_ns == (back if told == "nothing" else started)
 
 
 def test_a_ban_of_one_that_is_not_on_the_list_holds_when_it_comes() -> None:
@@ -158,9 +158,9 @@
     for number, held in ((1, 80.0), (2, 5.0)):
         world.report(number, 0.5, held)
     world.run(S)
-    servers = world.balancer.servers
+    servers = world.balancer.books.servers
     for number, fills in ((1, 160.0), (2, 0.0)):
         world.give(api.ServerList(api.ListKind.DELTA, (line(number, started_ns=world.now),)))
         assert (servers[number].load, servers[number].held, servers[number].fills) == (None, 0.0, fills)
     world.run(10 * S)  # 0.6 of its capacity; 160 over 20 s, three times, with a margin
-    assert world.balancer._cold_room(servers[1]) and servers[1].budget == 1.5
+    assert world.balancer.cold.room(servers[1]) and servers[1].budget == 1.5
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -6,8 +6,8 @@
 from world import MS, PLAIN, START, Driver, S, line, of, only
 
 from puffinpost import interface as api
-from puffinpost import rules
-from puffinpost.rules import Flow
+from puffinpost.decisions.choice import CHOICES
+from puffinpost.decisions.model import Flow
 
 
 def flow(world: Driver, **more: object) -> Flow:
@@ -19,44 +19,44 @@
     world = Driver()
     world.report(1, 0.4, 10.0)
     balancer = world.balancer
-    assert balancer._score(balancer.servers[1], flow(world)) == 600.0 + 600.0 + 600.0
+    assert balancer.choice.score(balancer.books.servers[1], flow(world)) == 600.0 + 600.0 + 600.0
     world.report(2, 1.3, 10.0)
-    assert balancer._score(balancer.servers[2], flow(world)) == 0.0
+    assert balancer.choice.score(balancer.books.servers[2], flow(world)) == 0.0
 
 
 def test_without_a_report_the_own_load_stands_for_bandwidth() -> None:
     world = Driver()
     balancer = world.balancer
-    balancer.scale = 10.0
-    server = balancer.servers[1]
-    assert balancer._score(server, flow(world)) == 3000.0
+    balancer.capacity.scale = 10.0
+    server = balancer.books.servers[1]
+    assert balancer.choice.score(server, flow(world)) == 3000.0
     server.own_load = 4.0
-    assert balancer._score(server, flow(world)) == 1000.0 + 1000.0 + 600.0
+    assert balancer.choice.score(server, flow(world)) == 1000.0 + 1000.0 + 600.0
 
 
 def test_inflation_counts_for_all_balancers_and_fades_as_a_report_covers_it() -> None:
     world = Driver(replace(PLAIN, balancers=4))
     balancer = world.balancer
     world.report(1, 0.5, 1.0)
-    balancer.scale = 80.0
-    server = balancer.servers[1]
+    balancer.capacity.scale = 80.0
+    server = balancer.books.servers[1]
     server.placements.append((world.now, 2.0))
     # 2 of 80, for 4 balancers: a tenth of the bandwidth, 100 points.
-    assert balancer._score(server, flow(world)) == 1500.0 - 100.0
+    assert balancer.choice.score(server, flow(world)) == 1500.0 - 100.0
     world.now += 750 * MS  # half of three aims
     world.report(1, 0.5, 1.0)
-    assert abs(balancer._score(server, flow(world)) - (1500.0 - 50.0)) < 1e-6
+    assert abs(balancer.choice.score(server, flow(world)) - (1500.0 - 50.0)) < 1e-6
     world.now += 2 * S
     world.report(1, 0.5, 1.0)
-    assert balancer._score(server, flow(world)) == 1500.0 and server.placements == []
+    assert balancer.choice.score(server, flow(world)) == 1500.0 and server.placements == []
 
 
 def test_inflation_never_takes_more_than_the_bandwidth_term() -> None:
     world = Driver()
     world.report(1, 0.5, 10.0)
-    world.balancer.scale = 1.0
-    world.balancer.servers[1].placements.append((world.now, 50.0))
-    assert world.balancer._score(world.balancer.servers[1], flow(world)) == 1000.0
+    world.balancer.capacity.scale = 1.0
+    world.balancer.books.servers[1].placements.append((world.now, 50.0))
+    assert world.balancer.choice.score(world.balancer.books.servers[1], flow(world)) == 1000.0
 
 
 @pytest.mark.parametrize(("pays", "bonus"), [(False, 200.0), (True, 3000.0)])
@@ -65,20 +65,20 @@
     for server in (1, 2):
         world.report(server, 0.5, 10.0)
     balancer = world.balancer
-    balancer.servers[1].groups[7] = 1
-    assert balancer._score(balancer.servers[1], flow(world, group=7)) == 1500.0 + bonus
-    assert balancer._score(balancer.servers[1], flow(world, group=8)) == 1500.0
-    assert balancer._score(balancer.servers[2], flow(world, group=7)) == 1200.0
+    balancer.books.servers[1].groups[7] = 1
+    assert balancer.choice.score(balancer.books.servers[1], flow(world, group=7)) == 1500.0 + bonus
+    assert balancer.choice.score(balancer.books.servers[1], flow(world, group=8)) == 1500.0
+    assert balancer.choice.score(balancer.books.servers[2], flow(world, group=7)) == 1200.0
 
 
 def test_a_told_load_is_clamped_to_a_range_of_sixteen() -> None:
     world = Driver()
     balancer = world.balancer
-    balancer.told_load, balancer.told_count = 100.0, 1.0
-    assert balancer._estimate(flow(world, load=1), None) == 25.0
-    assert balancer._estimate(flow(world, load=60), None) == 60.0
-    assert balancer._estimate(flow(world, load=10_000), None) == 400.0
-    assert balancer._estimate(flow(world), None) == 25.0
+    balancer.books.told_load, balancer.books.told_count = 100.0, 1.0
+    assert balancer.books.estimate(flow(world, load=1), None) == 25.0
+    assert balancer.books.estimate(flow(world, load=60), None) == 60.0
+    assert balancer.books.estimate(flow(world, load=10_000), None) == 400.0
+    assert balancer.books.estimate(flow(world), None) == 25.0
 
 
 def test_the_freest_candidate_wins() -> None:
@@ -93,13 +93,13 @@
     samples = set()
     for seed in range(5):
         world = Driver(PLAIN, *lines, seed=seed)
-        samples.add(tuple(it.id for it in world.balancer._sample(flow(world, key=1234567))))
-    assert len(samples) == 1 and len(next(iter(samples))) == rules.CHOICES
+        samples.add(tuple(it.id for it in world.balancer.choice.sample(flow(world, key=1234567))))
+    assert len(samples) == 1 and len(next(iter(samples))) == CHOICES
 
 
 def test_candidates_are_spread_over_the_fleet() -> None:
     world = Driver(PLAIN, *(line(number) for number in range(1, 31)))
-    seen = {it.id for key in range(1, 200) for it in world.balancer._sample(flow(world, key=key))}
+    seen = {it.id for key in range(1, 200) for it in world.balancer.choice.sample(flow(world, key=key))}
     assert len(seen) == 30
 
 
@@ -123,9 +123,9 @@
     world = Driver()
     for value in (float("nan"), float("inf"), -0.5):
         world.report(1, value, 1.0)
-        assert world.balancer.servers[1].load is None
+        assert world.balancer.books.servers[1].load is None
     world.report(1, 3.5, 1.0)
-    assert world.balancer.servers[1].load == 3.5
+    assert world.balancer.books.servers[1].load == 3.5
 
 
 def test_the_same_seed_and_events_give_the_same_actions() -> None:
@@ -144,18 +144,18 @@
     world = Driver(PLAIN, line(1), line(2))
     world.report(1, 0.5, 40.0)
     world.report(2, 0.5, 5.0)
-    servers, balancer = world.balancer.servers, world.balancer
-    assert [balancer._capacity(servers[number]) for number in (1, 2)] == [80.0, 10.0]
-    assert [balancer._has_room(servers[number], flow(world)) for number in (1, 2)] == [True, True]
+    servers, balancer = world.balancer.books.servers, world.balancer
+    assert [balancer.capacity.of(servers[number]) for number in (1, 2)] == [80.0, 10.0]
+    assert [balancer.choice.has_room(servers[number], flow(world)) for number in (1, 2)] == [True, True]
     for number in (1, 2):
         servers[number].placements = [(world.now, 1.0)] * 4
-    assert [balancer._has_room(servers[number], flow(world)) for number in (1, 2)] == [True, False]
+    assert [balancer.choice.has_room(servers[number], flow(world)) for number in (1, 2)] == [True, False]
     world.give(api.ServerList(api.ListKind.DELTA, (line(2, started_ns=world.now),)))
     assert servers[2].fills == 0.0  # a new process may be a faster one, and it is cold:
-    assert balancer._capacity(servers[2]) == balancer.scale * 0.2
+    assert balancer.capacity.of(servers[2]) == balancer.capacity.scale * 0.2
     world.now += 10 * S  # half way to warm
     world.report(2, 0.5, 6.0)
-    assert abs(servers[2].fills * 0.6 - 12.0) < 1e-6 and abs(balancer._capacity(servers[2]) - 12.0) < 1e-6
+    assert abs(servers[2].fills * 0.6 - 12.0) < 1e-6 and abs(balancer.capacity.of(servers[2]) - 12.0) < 1e-6
 
 
 def test_own_connections_stand_for_a_load_that_is_reported_late() -> None:
@@ -165,12 +165,12 @@
         world.open()
     world.now += 4 * S  # long enough for a fresh report to cover them; this one does not
     world.report(1, 0.5, 10.0)
-    server = world.balancer.servers[1]
-    world.balancer._survey()
+    server = world.balancer.books.servers[1]
+    world.balancer.capacity.survey()
     assert server.placements == []
-    assert world.balancer._load(server) == 7 * 2 / 20  # as many again are taken to be the other balancer's
+    assert world.balancer.capacity.load(server) == 7 * 2 / 20  # as many again are the other's
     world.report(1, 0.8, 16.0)
-    assert world.balancer._load(server) == 0.8
+    assert world.balancer.capacity.load(server) == 0.8
 
 
 @pytest.mark.parametrize(("started_ns", "most"), [(0, 12), (START, 16)])
@@ -182,12 +182,12 @@
     world = Driver(PLAIN, line(1), line(2), line(3, started_ns=started_ns))
     for number, held in ((1, 20.0), (2, 20.0), (3, 0.0)):
         world.report(number, 0.4, held)
-    world.balancer._survey()
-    server = world.balancer.servers[3]
+    world.balancer.capacity.survey()
+    server = world.balancer.books.servers[3]
     rooms = []
     for number in range(16):
-        rooms.append(world.balancer._has_room(server, flow(world)))
+        rooms.append(world.balancer.choice.has_room(server, flow(world)))
         server.own[1000 + number] = flow(world)
     assert rooms == [True] * most + [False] * (16 - most)
     world.report(3, 0.7, 16.0)
-    assert world.balancer._has_room(server, flow(world))
+    assert world.balancer.choice.has_room(server, flow(world))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -15,7 +15,7 @@
 from puffinpost.core import MS, Core, Message, Relay
 from puffinpost.counters import Counters
 from puffinpost.inventory import Inventory
-from puffinpost.wire import parse_settings
+from puffinpost.hosting.wire import parse_settings
 
 ENTRY: dict[str, Any] = {
     "address": "127.0.0.1:1", "zone": "amman", "type": "large", "status": "up", "since_ms": 0,
@@ -152,11 +152,11 @@
     if stands:
         def broken(event: api.LoadNote) -> None:
             raise RuntimeError("boom")
-        monkeypatch.setattr(stage.core.balancer, "_on_load_note", broken)
+        monkeypatch.setattr(stage.core.balancer.books, "rebook", broken)
         stage.core.load(stage.relays[0], 5.0)
         assert stage.said == ["log", "moved", "drop"] and not stage.core.exchanges
     else:
-        monkeypatch.setattr(stage.core.balancer, "_place", lambda flow: 1 / 0)
+        monkeypatch.setattr(stage.core.balancer.life, "_place", lambda flow: 1 / 0)
         stage.core.open(Message(0, 3000 * MS), stage)
         assert stage.said == ["log", "failed"] and other.standing and list(stage.core.exchanges) == [1]
 
@@ -169,7 +169,7 @@
     monkeypatch.setattr(stage.core, "_time_out", lambda relay: None)  # this clock cancels nothing
     exchange = stage.core.open(Message(0, 3000 * MS), stage)
     stage.core.up(stage.relays[0])
-    monkeypatch.setattr(stage.core.balancer, "_on_line_owed", told.append)
+    monkeypatch.setattr(stage.core.balancer.health, "on_line_owed", told.append)
     stage.core.line_north(exchange, 10)
     stage.core.hold(exchange, True)
     stage.run(2000)
--- a/tests/test_delays.py
+++ b/tests/test_delays.py
@@ -109,4 +109,4 @@
     world = Driver(PLAIN, line(1), line(2))
     slow(world, 1, 100, 0)
     world.give(api.ServerList(api.ListKind.FULL, (line(1, started_ns=world.now), line(2))))
-    assert not world.balancer.servers[1].delay.misses(100 * MS, world.now)
+    assert not world.balancer.books.servers[1].delay.misses(100 * MS, world.now)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -5,12 +5,12 @@
 from world import MS, PLAIN, Driver, S, line, of, only
 
 from puffinpost import interface as api
-from puffinpost import rules
+from puffinpost.decisions.window import WINDOW_MOST
 
 
 def loaded(world: Driver, server: int, count: int) -> None:
     """Lets a server carry this many of the balancer's connections."""
-    while len(world.balancer.servers[server].own) < count:
+    while len(world.balancer.books.servers[server].own) < count:
         send = world.open()
         if send.server != server:
             world.end(world.last, 0, send.server, api.Result.SERVED, finished=True)
@@ -49,16 +49,16 @@
 def test_failing_set_ups_narrow_the_window_and_good_ones_widen_it() -> None:
     world = Driver(replace(PLAIN, max_attempts=2))
     sends = [only(world.ask(), api.Send) for _ in range(12)]
-    assert world.balancer.window == rules.WINDOW_MOST
+    assert world.balancer.window.most == WINDOW_MOST
     for number in range(8):
         world.end(sends[number].request, 0, sends[number].server, api.Result.ERROR)
-    assert world.balancer.window == 1.0
+    assert world.balancer.window.most == 1.0
     assert of(world.ask(), api.Send) == []  # no more than that at once
-    before = world.balancer.setting_up
+    before = world.balancer.window.setting_up
     for send in sends[8:]:
         world.give(api.Established(send.request, 0, send.server, MS))
-    assert world.balancer.window == 5.0
-    assert before > world.balancer.setting_up or world.balancer.waiting == {}
+    assert world.balancer.window.most == 5.0
+    assert before > world.balancer.window.setting_up or world.balancer.life.waiting == {}
 
 
 def test_a_server_that_fails_is_put_aside_and_comes_back() -> None:
@@ -74,7 +74,7 @@
     got = world.give(api.Request(1, 0, world.now + 2 * S))
     assert {probe.server for probe in of(got, api.Probe)} == {1, 2}
     world.report(2, 0.7, 10.0)  # server 1 never answers
-    world.balancer.now = world.now
+    world.balancer.books.now = world.now
     world.timers.sort()
     sends: list[api.Send] = []
     while not sends:
@@ -134,12 +134,12 @@
     world.report(1, 2.0, 10.0)
     world.give(api.ProbeResult(1, api.Result.TIMEOUT, MS))
     world.give(api.ServerList(api.ListKind.DELTA, (line(1, started_ns=world.now),)))
-    server = world.balancer.servers[1]
+    server = world.balancer.books.servers[1]
     assert (server.load, server.faults, server.aside_until) == (None, 0, 0)
-    assert abs(world.balancer._warmth(server) - 0.2) < 1e-9
+    assert abs(world.balancer.capacity.warmth(server) - 0.2) < 1e-9
     world.now += 10 * S
-    world.balancer.now = world.now
-    assert abs(world.balancer._warmth(server) - 0.6) < 1e-9
+    world.balancer.books.now = world.now
+    assert abs(world.balancer.capacity.warmth(server) - 0.6) < 1e-9
 
 
 def test_a_clock_that_jumps_forward_is_survived() -> None:
@@ -150,5 +150,5 @@
     assert len(of(got, api.Refuse) + of(got, api.Fail)) == 1
     assert of(got, api.Send) == []
     assert world.end(1, 0, send.server, api.Result.TIMEOUT) == []
-    assert world.balancer.flows == {}
+    assert world.balancer.books.flows == {}
     assert only(world.ask(), api.Send).server in (1, 2, 3)
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -78,7 +78,7 @@
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_calls_that_fail_are_put_off_until_discovery_can_answer(seed: int) -> None:
     chance = random.Random(seed)
-    asking = [Asking(NODES, 10 * S, chance) for _ in range(NODES)]
+    asking = [Asking(replace(PLAIN, balancers=NODES), chance) for _ in range(NODES)]
     rates = [NODES * S / (sum(it.retry_ns(fails) for it in asking) / NODES) for fails in (1, 2, 3, 9)]
     assert rates[0] < 15 and rates[1] < 7 and rates[2] < 4 and rates[3] < 3
     # A failed call puts the need to ask off to four times the ten seconds.
@@ -86,9 +86,9 @@
 
 
 def test_a_small_fleet_shares_nothing_out() -> None:
-    asking = Asking(20, 10 * S, random.Random(1))
+    asking = Asking(replace(PLAIN, balancers=20), random.Random(1))
     assert not asking.shared and asking.rest_ns() == 0
-    asking = Asking(21, 10 * S, random.Random(1))
+    asking = Asking(replace(PLAIN, balancers=21), random.Random(1))
     assert asking.shared and len({asking.rest_ns() for _ in range(50)}) > 40
 
 
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -6,7 +6,7 @@
 import pytest
 from test_wire import ARRIVAL, SETTINGS, frame
 
-from puffinpost import simhost, wire
+from puffinpost.hosting import simhost, wire
 
 
 def create(inst: int, seed: int, text: bytes, offset: int = 0) -> bytes:
@@ -66,7 +66,7 @@
         frame(ARRIVAL, struct.pack(">BH", wire.RETIRE, 3), create(3, 2, text), tail=text)
     )
     assert host.instances[3] is not old
-    assert host.instances[3].flows == {}
+    assert host.instances[3].books.flows == {}
     assert struct.unpack(">II", reply[:8])[1] == 0  # nothing the old one ordered is sent for the new one
 
 
--- a/tests/test_life_cycle.py
+++ b/tests/test_life_cycle.py
@@ -19,7 +19,7 @@
     assert len(answers(got)) == 1
     assert of(got, api.Send) == []
     assert world.end(world.last, 0, 1, api.Result.TIMEOUT) == []
-    assert world.balancer.flows == {}
+    assert world.balancer.books.flows == {}
 
 
 def test_a_failed_attempt_goes_to_another_server_until_the_cap() -> None:
@@ -77,7 +77,7 @@
     assert of(world.ask(), api.Send) == []
     got = world.run(3 * S)
     assert [type(answer) for answer in answers(got)] == [api.Refuse]
-    assert world.balancer.flows == {} and world.balancer.waiting == {}
+    assert world.balancer.books.flows == {} and world.balancer.life.waiting == {}
 
 
 def test_a_held_request_goes_out_when_a_server_comes() -> None:
@@ -95,7 +95,7 @@
         api.ProbeResult(7, api.Result.SERVED, MS, (1.0,)), api.Request(98, 40, START + S),
     ):
         assert world.give(event) == []
-    assert world.balancer.flows == {}
+    assert world.balancer.books.flows == {}
 
 
 def test_a_client_that_leaves_is_owed_nothing() -> None:
@@ -104,7 +104,7 @@
     assert answers(world.give(api.ClientGone(1))) == []
     assert world.end(1, 0, send.server, api.Result.TIMEOUT) == []
     assert answers(world.run(3 * S)) == []
-    assert world.balancer.flows == {}
+    assert world.balancer.books.flows == {}
 
 
 def test_memory_does_not_grow_with_what_is_over() -> None:
@@ -112,8 +112,8 @@
     for _ in range(200):
         send = world.open()
         world.end(world.last, 0, send.server, api.Result.SERVED, finished=True)
-    assert world.balancer.flows == {}
-    assert all(not server.own and server.own_load == 0 for server in world.balancer.servers.values())
+    assert world.balancer.books.flows == {}
+    assert all(not server.own and server.own_load == 0 for server in world.balancer.books.servers.values())
 
 
 def test_together_the_balancers_keep_a_cold_server_within_its_budget() -> None:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,7 +5,7 @@
 import pytest
 
 from puffinpost import interface as api
-from puffinpost import wire
+from puffinpost.hosting import wire
 
 ARRIVAL = bytes.fromhex(
     "1e000300010c4e5d3a91c4000000000000000203b6db900191f03b7c55d20a640000000000b71b0000002b8e6401d9f37c10"
