Eight starts of the real program under settings of other deployments

Change: pushed lists, groups with tenants, live and no weights, probes without a count, no word when to come back, 200 nodes in four zones, nothing reported: each starts, serves one message, moves it off a drain and ends with 0.

--- a/puffinpost/decisions/choice.py
+++ b/puffinpost/decisions/choice.py
@@ -37,8 +37,7 @@
             load = self.capacity.load(server)
             free = max(0.0, POINTS - load * POINTS)
             band = POINTS - load * POINTS
-        band = max(0.0, band)
-        band -= min(band, self.capacity.inflation(server) * POINTS / capacity)
+        band = max(0.0, band) - min(max(0.0, band), self.capacity.inflation(server) * POINTS / capacity)
         score = free + free + band
         if flow.group and flow.group in server.groups:
             score += KEEPS_GROUP if settings.groups else GROUP_BONUS
--- a/puffinpost/decisions/cold.py
+++ b/puffinpost/decisions/cold.py
@@ -44,8 +44,7 @@
             return server.id in self.books.called and server.budget >= 1.0
         full = server.fills or (capacity.full_connections or 0.0) * server.weight
         rate = full / rules.warm_within_ns * capacity.warmth(server) * rules.fall_multiple * COLD_SAFETY
-        passed = self.books.now - server.budget_ns
-        server.budget = min(1.5, server.budget + rate / rules.balancers * passed)
+        server.budget = min(1.5, server.budget + rate / rules.balancers * (self.books.now - server.budget_ns))
         server.budget_ns = self.books.now
         return server.budget >= 1.0
 
--- a/puffinpost/decisions/health.py
+++ b/puffinpost/decisions/health.py
@@ -21,8 +21,8 @@
 
     def fault(self, server: Server) -> None:
         """Guards against a server that does not answer: it is left out for a while, longer each time."""
-        aims = ASIDE_AIMS * 2.0 ** min(server.faults, ASIDE_DOUBLINGS)
-        server.aside_until = self.books.now + self.books.aims(aims)
+        aside = self.books.aims(ASIDE_AIMS * 2.0 ** min(server.faults, ASIDE_DOUBLINGS))
+        server.aside_until = self.books.now + aside
         server.faults += 1
 
     def well(self, server: Server) -> None:
--- a/puffinpost/decisions/life.py
+++ b/puffinpost/decisions/life.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from puffinpost.decisions.choice import Choice
-from puffinpost.decisions.health import Health
+from puffinpost.decisions.health import UNHEARD, Health
 from puffinpost.decisions.model import Flow, Server
 from puffinpost.decisions.probing import HOLD_AIMS, PROBES_PER_REQUEST, Probing
 from puffinpost.decisions.window import Window
@@ -82,8 +82,7 @@
 
     def _send(self, flow: Flow, server: Server) -> None:
         books = self.books
-        left = flow.deadline_ns - books.now
-        limit = left
+        limit = left = flow.deadline_ns - books.now
         if flow.klass.effect is Effect.SAFE and flow.attempts + 1 < books.settings.max_attempts:
             # Guards against a silent server: leave time for another one.
             # The time-out doubles: where all are slow, cutting off work only to ask for it again adds to it.
@@ -119,7 +118,7 @@
         if server is not None:
             if event.report and self.capacity.take_report(server, event.report):
                 self.health.moves.ease(server)
-            if event.result in (Result.TIMEOUT, Result.CONNECT_FAILED):
+            if event.result in UNHEARD:
                 self.health.fault(server)
         flow = books.flows.get(event.request)
         if flow is None or not flow.out or event.attempt != flow.attempts - 1:
--- a/puffinpost/decisions/moves.py
+++ b/puffinpost/decisions/moves.py
@@ -40,8 +40,8 @@
         books = self.books
         if server.load is None or books.now < server.moved_ns or books.off(server):
             return
-        if books.settings.groups:
-            return  # wherever it goes its group pays anew: evening out fills the fleet
+        if books.settings.groups:  # wherever it goes its group pays anew: evening out fills the fleet
+            return
         mean = self.capacity.mean_load
         if mean <= ROOMY:
             if server.load <= max(CROWDED, mean * CROWDED_RATIO):
--- /dev/null
+++ b/tests/test_settings_process.py
@@ -0,0 +1,46 @@
+"""The real program under settings of other deployments: it starts, serves, moves off a drain and ends."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from conftest import World
+from standins import SETTINGS
+from test_node import OPEN, first_of, fresh
+from test_reload import moved
+
+LIMITS: dict[str, Any] = SETTINGS["Limits"]
+REPORT: dict[str, Any] = SETTINGS["Report"]
+TENANTS = [{"Name": "a", "Share": 0.6, "QuotaPerS": 9.0}, {"Name": "b", "Share": 0.4, "QuotaPerS": 0.0}]
+QUOTAS = {**SETTINGS["FamilyInfo"], "Groups": True, "TenantQuotaConnections": [40, 1]}
+DRAWN: dict[str, dict[str, Any]] = {
+    "pushed lists": {"Discovery": "pushed", "Rules": {**SETTINGS["Rules"], "AskWithinNs": 0}},
+    "groups and tenants": {"FamilyInfo": QUOTAS, "Tenants": TENANTS, "OverShareWorth": 0.1},
+    "live weights, one attempt": {"Weights": "live", "Limits": {**LIMITS, "AttemptsCap": 1}},
+    "no weights, no cancels": {"Weights": "off", "Limits": {**LIMITS, "Cancel": False}},
+    "probes without a count": {"Limits": {**LIMITS, "Probes": True},
+                               "Report": {**REPORT, "Fields": ["x0", "tps", "mean_ms", "err_ps"]}},
+    "no word when to come back": {"Limits": {**LIMITS, "RetryAfter": False, "MaxRetryAfterNs": 0}},
+    "a large fleet of four zones": {"FleetSize": 200, "Dcs": ["a", "amman", "b", "c"], "Locality": 1},
+    "nothing reported, no ramp": {"Report": {**REPORT, "Fields": []},
+                                  "Rules": {**SETTINGS["Rules"], "ColdFrom": 1.0, "RampTimeNs": 0}},
+}
+
+
+@pytest.mark.parametrize("settings", DRAWN.values(), ids=DRAWN.keys())
+def test_the_program_serves_under_settings_of_another_deployment(
+    world: World, settings: dict[str, Any]
+) -> None:
+    assert all(settings[key] != SETTINGS.get(key) for key in settings)
+    node = world.start(settings=settings)
+    client = node.client(fresh(OPEN % 3000))
+    server, relay = first_of(world.servers)
+    while not relay.line().startswith(b"OPEN"):  # a probe: not said, which is no report
+        relay.close()
+        server, relay = first_of(world.servers)
+    relay.send(b"UP 1\r\n")
+    assert client.line() == b"UP 1\r\n"
+    world.discovery.tell(f"s-{world.servers.index(server)}", server.address, "draining")
+    assert moved(client)
+    assert node.stop() == 0
