Agreement: documents with versions, leases and consensus, as state machines without I/O

Change: agreement/ has Raft after figure 2 (with pre-votes, a leader that steps down unheard, voters changed one at a time and counted by the identity of their folders), documents with staged versions, leases that bound how long an old version may be acted on after the first acts on a newer one, the law for who is cut off (kept classes), and a tree of followers in which nobody serves more than its fan-out. emulator/mesh has the same parts on a virtual clock with an in-memory network and disks, drawn faults, a checker of histories, and a walk of every order of events. Found on the way: a fresh leader took the moment of its election for the moment at which its votes were given, by which a lease could have outlived T; it counts from when it asked. 104 of 500 followers found no place for good while a source served whoever came first; those who are to ask it first always find one.

--- /dev/null
+++ b/puffinpost/agreement/documents.py
@@ -0,0 +1,165 @@
+"""The documents that are agreed on, as the log makes them: the same at every node that has applied as much.
+
+What nodes agree on is who acts on which version: a staged version is named, with the share of nodes that act
+on it, in the same document as the version that the others act on. So a staged rollout contradicts nothing.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any
+
+import msgspec
+
+from puffinpost.agreement.messages import Command, Decide, Propose
+
+PAST = 20  # versions kept of each document, for looks, comparison and a way back
+DECIDED = 256  # outcomes of proposals kept
+
+
+class Version(msgspec.Struct, frozen=True):
+    """A version of a document. ``number``: its place in the log; ``hash``: see `digest`."""
+
+    number: int
+    term: int
+    hash: str
+    content: Any
+    ident: str
+    by: str = ""
+    why: str = ""
+    at_s: int = 0
+    share: float = 1.0
+
+
+class Document(msgspec.Struct, frozen=True):
+    """A document. ``changed``: the place in the log of the last entry about it.
+
+    ``active`` is acted on by all but those who act on ``staged``. ``pending`` is proposed and acted on by
+    nobody.
+    """
+
+    name: str
+    changed: int
+    active: Version | None = None
+    staged: Version | None = None
+    pending: Version | None = None
+    past: tuple[Version, ...] = ()
+
+    def number(self) -> int:
+        """The version of what all together act on; it never goes back."""
+        return max((it.number for it in (self.active, self.staged) if it is not None), default=0)
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """What became of a proposal."""
+
+    ident: str
+    doc: str
+    outcome: str
+    problem: str
+    number: int
+
+
+class Kept(msgspec.Struct):
+    """All documents, as they are kept in a snapshot."""
+
+    applied: int = 0
+    documents: dict[str, Document] = {}
+    outcomes: list[Outcome] = []
+
+
+def digest(content: Any) -> str:
+    """A content's hash (BLAKE2b, 128 bits): of its JSON with sorted keys, however it was written."""
+    return hashlib.blake2b(msgspec.json.encode(content, order="sorted"), digest_size=16).hexdigest()
+
+
+def staged_at(node: str, version: Version) -> bool:
+    """Whether a node is of the share that acts on a staged version: the same answer everywhere."""
+    drawn = hashlib.blake2b(f"{node}/{version.ident}".encode(), digest_size=8).digest()
+    return int.from_bytes(drawn, "big") < version.share * 2.0**64
+
+
+def acted_on(node: str, document: Document) -> Version | None:
+    """The version that a node acts on."""
+    staged = document.staged
+    return staged if staged is not None and staged_at(node, staged) else document.active
+
+
+class Documents:
+    """The state machine. ``apply`` takes the log's commands in order, each once."""
+
+    def __init__(self, kept: Kept | None = None) -> None:
+        self.kept = kept or Kept()
+        self.documents = self.kept.documents
+
+    def outcome(self, ident: str) -> Outcome | None:
+        """What became of a proposal; None: not decided, or long ago."""
+        return next((it for it in reversed(self.kept.outcomes) if it.ident == ident), None)
+
+    def pending(self) -> list[tuple[str, Version]]:
+        """Proposals that wait for the nodes' word, with their documents."""
+        return [(it.name, it.pending) for it in self.documents.values() if it.pending is not None]
+
+    def apply(self, index: int, term: int, command: Command) -> Document | None:
+        """One entry; the document that it changed."""
+        assert index == self.kept.applied + 1, (index, self.kept.applied)
+        self.kept.applied = index
+        made = None
+        if isinstance(command, Propose):
+            made = self._propose(index, term, command)
+        elif isinstance(command, Decide):
+            made = self._decide(index, command)
+        if made is not None:
+            self.documents[made.name] = made
+        return made
+
+    def _propose(self, index: int, term: int, told: Propose) -> Document | None:
+        document = self.documents.get(told.doc) or Document(told.doc, 0)
+        if self.outcome(told.ident) is not None or getattr(document.pending, "ident", "") == told.ident:
+            return None  # offered twice
+        if document.pending is not None or document.staged is not None:
+            self._settle(told.ident, told.doc, "rejected", "another proposal is not done with yet", index)
+            return None
+        made = Version(index, term, digest(told.content), told.content, told.ident, told.by, told.why,
+                       told.at_s, told.share)
+        return msgspec.structs.replace(document, changed=index, pending=made)
+
+    def _decide(self, index: int, told: Decide) -> Document | None:
+        for document in self.documents.values():
+            pending, staged = document.pending, document.staged
+            waits = pending is not None and pending.ident == told.ident
+            if pending is not None and waits and told.outcome in ("accepted", "rejected"):
+                self._settle(told.ident, document.name, told.outcome, told.problem, index)
+                if told.outcome == "rejected":
+                    return msgspec.structs.replace(document, changed=index, pending=None)
+                made = msgspec.structs.replace(pending, number=index)
+                if made.share < 1.0:
+                    return msgspec.structs.replace(document, changed=index, pending=None, staged=made)
+                return self._activate(document, index, made)
+            tried = staged is not None and staged.ident == told.ident
+            if staged is not None and tried and told.outcome in ("promoted", "withdrawn"):
+                self._settle(told.ident, document.name, told.outcome, told.problem, index)
+                final = staged if told.outcome == "promoted" else document.active
+                if final is None:
+                    return msgspec.structs.replace(document, changed=index, staged=None)
+                # All act on one content again, and that is a version of its own: numbers never go back.
+                final = msgspec.structs.replace(final, number=index, share=1.0)
+                return self._activate(document, index, final)
+        return None
+
+    @staticmethod
+    def _activate(document: Document, index: int, made: Version) -> Document:
+        past = (*document.past, document.active)[-PAST:] if document.active is not None else document.past
+        return Document(document.name, index, made, None, None, past)
+
+    def _settle(self, ident: str, doc: str, outcome: str, problem: str, index: int) -> None:
+        self.kept.outcomes = [*self.kept.outcomes[-DECIDED:], Outcome(ident, doc, outcome, problem, index)]
+
+    def encoded(self) -> bytes:
+        """All of it, for a snapshot."""
+        return msgspec.msgpack.encode(self.kept)
+
+
+def decoded(state: bytes) -> Documents:
+    """A snapshot's documents; nothing yet where it is empty."""
+    return Documents(msgspec.msgpack.decode(state, type=Kept) if state else None)
--- /dev/null
+++ b/tests/test_agreement.py
@@ -0,0 +1,233 @@
+"""Agreement without sockets: drawn schedules on a virtual clock, planted faults, every order of events."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from puffinpost.agreement import kept
+from puffinpost.agreement.documents import Documents, Kept, Version, digest, staged_at
+from puffinpost.agreement.lease import DRIFT, HOPS, Lease, span_ns
+from puffinpost.agreement.messages import Decide, Propose
+from puffinpost.agreement.plan import Plan
+from puffinpost.emulator.mesh.checker import Event, check
+from puffinpost.emulator.mesh.explore import LEASE, VOTE, Bounds, Explorer
+from puffinpost.emulator.mesh.schedule import Shape, play
+from puffinpost.emulator.mesh.virtual import MS, S, Virtual
+
+CHUNKS = 25
+T = 2 * S
+
+
+@pytest.mark.parametrize("chunk", range(CHUNKS))
+def test_drawn_faults_break_no_promise(chunk: int) -> None:
+    accepted = 0
+    for seed in range(chunk, 2000, CHUNKS):
+        shape = Shape(5, 3, faults=7) if seed % 10 == 9 else Shape(3, 1, faults=4, proposals=4)
+        played = play(seed, shape)
+        assert not played.breaches, (seed, [it.text() for it in played.breaches])
+        assert not played.unsure, (seed, played.unsure)  # all is well again, and everybody knows it
+        accepted += played.accepted
+    assert accepted > 80
+
+
+@pytest.mark.parametrize("planted", ["stale_read", "lost_version", "lease_ignored"])
+def test_planted_faults_are_found(planted: str) -> None:
+    """A version that is not read, one that is not passed on, a lease that is not looked at."""
+    shape = Shape(3, 2, faults=8)
+    assert any(play(seed, shape, frozenset({planted})).breaches for seed in range(40))
+
+
+def test_five_hundred_nodes_agree_and_nobody_serves_more_than_its_share() -> None:
+    fleet = Virtual(1, 5, 495, fanout=8)
+    fleet.run(8 * S)
+    assert all(place.member is not None and place.member.acting.sure(place.clock(fleet.now))
+               for place in fleet.places.values())
+    ident, began, sent = fleet.propose("n499", {"a": 1}), fleet.now, fleet.sent
+    fleet.run(4 * S)
+    assert fleet.outcome(ident) == ("accepted", "")
+    acts = [it for it in fleet.events if it.kind == "act"]
+    assert {it.node for it in acts if it.t > fleet.now - S} == set(fleet.places)
+    assert max(it.t for it in acts) > began and check(fleet.events, T, fleet.now - S) == []
+    for place in fleet.places.values():
+        assert place.member is not None
+        children = [name for name in place.member.serving.children if name not in place.plan.voters]
+        assert len(children) <= 8
+    # At rest each node asks one other, a few times in T: it does not grow with the fleet.
+    assert (fleet.sent - sent) / 500 / 4 < 15
+
+
+def test_who_is_cut_off_acts_on_what_its_version_keeps_and_on_nothing_else() -> None:
+    fleet = Virtual(3, 3, 1)
+    fleet.run(3 * S)
+    classes = [{"Name": "chat"}, {"Name": "mail"}]
+    fleet.propose("n0", {"Classes": classes, "kept": {"classes": ["chat"], "for_s": 8}})
+    fleet.run(3 * S)
+    place = fleet.places["n3"]
+    member = place.member
+    assert member is not None
+    fleet.part({"n3"}, {"n0", "n1", "n2"})
+    fleet.run(T + S)
+    now = place.clock(fleet.now)
+    assert not member.acting.sure(now) and member.may("chat", now) and not member.may("mail", now)
+    fleet.run(8 * S)
+    assert not member.may("chat", place.clock(fleet.now))  # the promise was for so long
+    # One who still relies on it keeps the others from breaking it: first it has to be kept no more, and run
+    # out.
+    refused = fleet.propose("n1", {"Classes": classes[1:]})
+    fleet.run(2 * S)
+    first = "Classes: chat is kept by the version in force: stop keeping it first"
+    assert fleet.outcome(refused) == ("rejected", first)
+    fleet.propose("n1", {"Classes": classes})
+    fleet.run(2 * S)
+    early = fleet.propose("n1", {"Classes": classes[1:]})
+    fleet.run(2 * S)
+    assert fleet.outcome(early) is not None and "was kept" in str(fleet.outcome(early))
+    fleet.run(8 * S)
+    late = fleet.propose("n1", {"Classes": classes[1:]})
+    fleet.run(2 * S)
+    assert fleet.outcome(late) == ("accepted", "")
+
+
+def test_a_staged_version_that_fails_is_withdrawn_and_one_that_does_not_goes_to_all() -> None:
+    for failing, outcome in ((True, "withdrawn"), (False, "promoted")):
+        fleet = Virtual(4, 3, 17)
+        fleet.run(3 * S)
+        fleet.propose("n0", {"a": 1})
+        fleet.run(3 * S)
+        ident = fleet.propose("n0", {"a": 2}, share=0.4)
+        for _ in range(30):
+            fleet.run(S // 2)
+            for place in fleet.places.values():
+                if place.member is not None:
+                    place.member.counts.add(failing)
+        assert fleet.outcome(ident) is not None and str(fleet.outcome(ident)).startswith(f"('{outcome}'")
+        contents = {it.member.acting.version().content["a"] for it in fleet.places.values()  # type: ignore[union-attr]
+                    if it.member is not None}
+        assert contents == {1 if failing else 2}
+
+
+def test_a_voter_without_its_folder_is_another_and_votes_once_it_is_let_in() -> None:
+    fleet = Virtual(6, 3, 1)
+    fleet.run(3 * S)
+    fleet.kill("n1", folder=False)
+    fleet.start("n1")
+    fleet.run(3 * S)
+    member = fleet.places["n1"].member
+    assert member is not None and member.raft is not None and not member.raft.votes_here()
+    fleet.propose("n0", {"a": 1})
+    fleet.run(2 * S)
+    assert member.acting.sure(fleet.places["n1"].clock(fleet.now))  # it follows meanwhile
+    fleet.propose("n0", {"n1": member.identity}, doc="@voters")
+    fleet.run(4 * S)
+    assert member.raft.votes_here() and member.documents.kept.applied > 2
+    fleet.kill("n2")
+    fleet.run(4 * S)
+    ident = fleet.propose("n0", {"a": 2})
+    fleet.run(3 * S)
+    assert fleet.outcome(ident) == ("accepted", "")  # it takes its vote now
+
+
+def test_a_node_that_cannot_act_on_a_version_stops_it_and_says_which_key() -> None:
+    def check_at(doc: str, content: Any) -> str:
+        return "Limits.Odd: there is no such key" if content.get("odd") else ""
+
+    fleet = Virtual(5, 3, 2, check=check_at)
+    fleet.run(3 * S)
+    ident = fleet.propose("n4", {"odd": True})
+    fleet.run(3 * S)
+    outcome = fleet.outcome(ident)
+    assert outcome is not None and outcome[0] == "rejected" and "Limits.Odd" in outcome[1]
+    fleet.settle()
+    assert check(fleet.events, T, fleet.now) == [] and not any(it.kind == "act" for it in fleet.events)
+
+
+def test_small_cases_in_every_order() -> None:
+    votes = Explorer(Bounds(2, 0, 0, 0, 1, 0, votes_only=True)).run()
+    assert votes.whole and not votes.problem and votes.states > 1000
+    assert "both lead term" in Explorer(VOTE, "no_vote").run().problem
+    found = Explorer(LEASE, "no_lease", settled=True).run()
+    assert "ticks after a newer one" in found.problem and found.trace[-1].startswith("b acts on version")
+
+
+def test_a_checker_that_is_given_a_broken_history_says_so() -> None:
+    def act(t: int, node: str, number: int, content: str = "x") -> Event:
+        return Event(t, node, "act", "settings", number, content + str(number), number)
+
+    assert check([act(0, "a", 1), act(S, "b", 2), act(3 * S, "a", 1)], T, 9 * S) == []
+    late = check([act(0, "a", 1), act(S, "b", 2), act(3 * S + 1, "a", 1)], T, 9 * S)
+    assert [it.promise.split(" ")[0] for it in late] == ["two"] and "b" in late[0].text()
+    assert "back" in check([act(0, "a", 2), act(1, "a", 1)], T, 9 * S)[0].promise
+    assert "two contents" in check([act(0, "a", 1), act(1, "b", 1, "y")], T, 9 * S)[0].promise
+    accepted = Event(0, "", "accepted", "settings", 5)
+    assert "lost" in check([accepted, act(9, "a", 4)], T, 5)[0].promise
+    assert "answers" in check([Event(0, "a", "asked", ident="m")], T, 5)[0].promise
+
+
+@given(st.integers(1, 300), st.integers(2, 20), st.integers(3, 7))
+@settings(max_examples=60, deadline=None, derandomize=True)
+def test_sources_form_no_circle_and_a_first_choice_is_within_the_fan_out(nodes: int, fanout: int,
+                                                                         voters: int) -> None:
+    names = tuple(f"n{at}" for at in range(nodes + voters))
+    row = {name: at for at, name in enumerate(names)}
+    first: dict[str, int] = {}
+    for name in names[voters:]:
+        sources = Plan("c", name, names, names[:voters], fanout=fanout).sources()
+        assert sources and all(row[it] < row[name] for it in sources)
+        first[sources[0]] = first.get(sources[0], 0) + 1
+    assert max(first.values()) <= fanout // 2  # as many places again are for those whose source is silent
+
+
+def test_a_lease_ends_within_t_on_the_slowest_clocks_of_all_hops() -> None:
+    left = span_ns(T) / (1 - DRIFT)  # the leader's own clock is slow
+    for _ in range(HOPS + 1):
+        left /= 1 - DRIFT
+    assert left <= T * 1.0001
+    lease = Lease()
+    lease.taken(100, 50)
+    lease.taken(90, 10)
+    assert lease.held(149) and not lease.held(150) and lease.left_ns(120) == 30
+
+
+def test_documents_are_the_same_whatever_is_offered_twice() -> None:
+    documents, chance = Documents(Kept()), random.Random(1)
+    for index in range(1, 200):
+        ident = f"p{chance.randrange(30)}"
+        proposed = chance.random() < 0.5
+        told = Propose(ident, "settings", {"n": ident}) if proposed else Decide(ident, "accepted")
+        documents.apply(index, 1, told)
+    settled = [it.ident for it in documents.kept.outcomes]
+    assert len(set(settled)) == len(settled) > 10
+    document = documents.documents["settings"]
+    numbers = [it.number for it in document.past]
+    assert numbers == sorted(set(numbers)) and len(numbers) <= 20
+
+
+def test_what_a_content_keeps_is_checked() -> None:
+    good = {"Classes": [{"Name": "a"}], "kept": {"classes": ["a"], "for_s": 60}}
+    assert kept.problem(good) == "" and kept.kept_of(good) == (frozenset({"a"}), 60 * S)
+    wrong: list[Any] = [{"classes": ["b"], "for_s": 60}, {"classes": ["a"], "for_s": 0}, {"classes": ["a"]},
+                        {"classes": "a", "for_s": 1}, {"for": 1}, []]
+    for bad in wrong:
+        assert kept.problem({**good, "kept": bad}).startswith("kept")
+    version = Version(1, 1, digest(good), good, "p", share=0.3)
+    share = sum(staged_at(f"n{at}", version) for at in range(1000)) / 1000
+    assert 0.25 < share < 0.35 and digest({"b": 1, "a": 2}) == digest({"a": 2, "b": 1})
+
+
+def test_a_pause_of_thirty_seconds_ends_with_a_look_at_the_lease() -> None:
+    fleet = Virtual(8, 3, 2)
+    fleet.run(3 * S)
+    fleet.propose("n0", {"a": 1})
+    fleet.run(3 * S)
+    fleet.pause("n4", 30 * S)
+    fleet.run(S)
+    fleet.propose("n0", {"a": 2})
+    fleet.run(31 * S)
+    fleet.settle()
+    assert check(fleet.events, T, fleet.now - 500 * MS) == []
+    assert any(it.node == "n4" and it.kind == "act" and it.t > fleet.now - S for it in fleet.events)
