Nodes agree over links of their own: [cluster] in the operator's file, off without an id

The core asks a gate when a message comes, when a relay is sent and before its first byte; without a lease it gives the back-off answer at once, and what stands goes on.

--- a/puffinpost/config/__init__.py
+++ b/puffinpost/config/__init__.py
@@ -5,10 +5,10 @@
 """
 
 from puffinpost.config.edge import FlowsConfig, MqttConfig, XmppConfig, edge_file, read_edge
-from puffinpost.config.node import Config, flatten, load, reload, with_closed
+from puffinpost.config.node import Config, flatten, load, reload, with_closed, with_shared
 from puffinpost.config.problems import ConfigError
 
 __all__ = [
     "Config", "ConfigError", "FlowsConfig", "MqttConfig", "XmppConfig", "edge_file", "flatten", "load",
-    "read_edge", "reload", "with_closed",
+    "read_edge", "reload", "with_closed", "with_shared",
 ]
--- a/puffinpost/config/edge.py
+++ b/puffinpost/config/edge.py
@@ -18,6 +18,7 @@
 from puffinpost.inventory import parse_address
 
 if TYPE_CHECKING:
+    from puffinpost.config.cluster import ClusterConfig
     from puffinpost.protocol.scram import Verifiers
     from puffinpost.protocol.xmpp_stream import ClientOptions, ServerOptions
 
@@ -69,6 +70,7 @@
     log_format: str
     hand_over: str = "inherited"  # where processes of a node meet at an upgrade: see ``schema.Upgrade``
     trace: bool = False  # of each message, through the decisions
+    cluster: ClusterConfig | None = None
 
 
 def edge_file(environ: Mapping[str, str]) -> Path:
@@ -103,7 +105,8 @@
     if found:
         return found
     edge = schema.edge_of(table)
-    for part in (lambda: _xmpp(edge.xmpp), lambda: _mqtt(edge.mqtt), lambda: _flows(edge.ipfix)):
+    for part in (lambda: _xmpp(edge.xmpp), lambda: _mqtt(edge.mqtt), lambda: _flows(edge.ipfix),
+                 lambda: _cluster(edge.cluster)):
         try:
             part()
         except ConfigError as problem:
@@ -122,7 +125,7 @@
             octets_in_all=resume.bytes_in_all, refusals_per_minute=resume.refusals_per_minute,
         ),
         _flows(edge.ipfix), edge.counters.every_s, edge.log.format, edge.upgrade.hand_over,
-        edge.log.trace,
+        edge.log.trace, _cluster(edge.cluster),
     )
 
 
@@ -164,6 +167,15 @@
                       table.receive_maximum)
 
 
+def _cluster(table: schema.Cluster) -> ClusterConfig | None:
+    if not table.id:
+        return None
+    # Loaded only where it is on: a plain start stays quick.
+    from puffinpost.config.cluster import make as made
+
+    return made(table)
+
+
 def _flows(table: schema.Ipfix) -> FlowsConfig | None:
     collector = _address(table.collector, "ipfix.collector")
     return FlowsConfig(collector, table.observation_domain) if collector is not None else None
--- a/puffinpost/config/node.py
+++ b/puffinpost/config/node.py
@@ -13,17 +13,20 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import orjson
 
 from puffinpost import interface as api
-from puffinpost.config.edge import Address, FlowsConfig, MqttConfig, XmppConfig, read_edge
+from puffinpost.config.edge import Address, EdgeConfig, FlowsConfig, MqttConfig, XmppConfig, read_edge
 from puffinpost.config.problems import ConfigError
 from puffinpost.edge.limits import Limits
 from puffinpost.inventory import parse_address
 from puffinpost.hosting.wire import parse_settings
 
+if TYPE_CHECKING:
+    from puffinpost.config.cluster import ClusterConfig
+
 # What the node itself holds: three standard streams, the loop's three, a listener and a spare each front, a
 # connection each to discovery, the collector and the transcribers that are probed.
 OWN_SOCKETS = 32
@@ -49,6 +52,7 @@
     closed: frozenset[str] = frozenset()  # classes that a later file has not: they take nothing new
     raw: dict[str, Any] = field(default_factory=dict)  # the file in force
     known: dict[str, Any] = field(default_factory=dict)
+    cluster: ClusterConfig | None = None  # None: this node talks to no other
     xmpp: XmppConfig | None = None
     mqtt: MqttConfig | None = None
     resume: Limits = field(default_factory=Limits)
@@ -151,6 +155,7 @@
         discovery_in_file=str(told.get("discovery", "")),
         raw=told,
         known=_of(told, "known", dict, {}),
+        cluster=_named(edge, text("GW_NAME", "name")),
         xmpp=edge.xmpp,
         mqtt=edge.mqtt,
         resume=edge.resume,
@@ -165,6 +170,40 @@
     )
 
 
+def _named(edge: EdgeConfig, name: str) -> ClusterConfig | None:
+    if edge.cluster is None:
+        return None
+    from puffinpost.config.cluster import named
+
+    return named(edge.cluster, name)
+
+
+def with_shared(now: Config, content: Any) -> Config:
+    """The same with the settings that all nodes agree on, a part of ``settings`` as the platform has them.
+
+    What a node is told of itself stays its own. Raises ``ConfigError`` with the key that cannot be acted on.
+    """
+    if not isinstance(content, dict):
+        raise ConfigError(f"settings: {content!r:.40} is not a table")
+    shared = {key: value for key, value in content.items() if key != "kept"}
+    own = sorted(shared.keys() & {"Me", "FleetSize", "Locality", "Dcs", "Kinds"})
+    if own:
+        raise ConfigError(f"settings.{own[0]}: is each node's own, and not agreed on")
+    raw = {**now.raw.get("settings", {}), **shared}
+    try:
+        read = parse_settings("\n".join(flatten(raw)))
+    except ValueError as problem:
+        raise ConfigError(str(problem)) from None
+    names = tuple(str(item.get("Name", "")) for item in raw.get("Classes", []))
+    if len(set(names)) < len(names):
+        raise ConfigError(f"settings.Classes: two have one Name: {', '.join(names)}")
+    told = dict(zip(names, read.classes, strict=True))
+    merged = {**dict(zip(now.classes, now.settings.classes, strict=True)), **told}
+    read = read if read.list_on_request else _from_agent(read)
+    return replace(now, settings=replace(read, classes=tuple(merged.values())), classes=tuple(merged),
+                   closed=frozenset(merged.keys() - told.keys()))
+
+
 def meeting(hand_over: str, folder: str, inherited: int | None) -> str:
     """The folder where a process looks for another of its node, and can be found by the next; empty: none.
 
--- a/puffinpost/config/schema.py
+++ b/puffinpost/config/schema.py
@@ -105,6 +105,37 @@
     hand_over: Literal["inherited", "always", "never"] = "inherited"
 
 
+class Rehearsal(Table):
+    """For rehearsals alone: a clock that runs fast or slow, and faults planted in this node."""
+
+    clock_rate: Annotated[float, Meta(ge=0.9, le=1.1)] = 1.0
+    faults: list[Literal["stale_read", "lost_version", "lease_ignored"]] = msgspec.field(default_factory=list)
+
+
+class Cluster(Table):
+    """Agreement with other nodes on documents with versions; off without ``id``. Spans in seconds.
+
+    ``members``: addresses by name, this node among them; ``voters``: 3, 5 or 7 of these names.
+    ``agree_within_s`` is the promise T: nobody acts on an old version for longer than that after the first
+    acted on a newer one.
+    """
+
+    id: str = ""
+    name: str = ""  # the node's own, where empty
+    listen: str = ""  # as in ``members``, where empty
+    members: dict[str, str] = msgspec.field(default_factory=dict)
+    voters: list[str] = msgspec.field(default_factory=list)
+    folder: str = ""
+    agree_within_s: Annotated[float, Meta(ge=0.5, le=600)] = 2.0
+    on_lost: Literal["narrow", "refuse", "keep"] = "narrow"
+    fanout: Annotated[int, Meta(ge=2, le=256)] = 16
+    decide_within_s: Annotated[float, Meta(ge=1, le=3600)] = 10.0
+    stage_for_s: Annotated[float, Meta(ge=0.5, le=86400)] = 10.0
+    worst_share: Annotated[float, Meta(ge=0, le=1)] = 0.1
+    history: str = ""  # a file that is told of each version acted on
+    rehearsal: Rehearsal = msgspec.field(default_factory=Rehearsal)
+
+
 class Edge(Table):
     """The whole file."""
 
@@ -115,6 +146,7 @@
     counters: Counters = msgspec.field(default_factory=Counters)
     log: Log = msgspec.field(default_factory=Log)
     upgrade: Upgrade = msgspec.field(default_factory=Upgrade)
+    cluster: Cluster = msgspec.field(default_factory=Cluster)
 
 
 class Fault(ValueError):
--- a/puffinpost/core.py
+++ b/puffinpost/core.py
@@ -90,6 +90,16 @@
         """Send the client away politely."""
 
 
+class Gate(Protocol):
+    """What keeps a node from acting on rules that may have been replaced; asked when the node acts."""
+
+    def may(self, klass: str) -> bool:
+        """Whether something new of a class may be begun at this instant."""
+
+    def wrote(self, klass: str, server: str) -> None:
+        """Something new went to a transcriber."""
+
+
 @dataclass(frozen=True, slots=True)
 class Message:
     """What a client asks for, in no wire's terms."""
@@ -192,6 +202,7 @@
         self._events: deque[Callable[[], api.Event]] = deque()
         self._busy = False
         self._noted: dict[api.ServerId, int] = {}  # slow transcribers, and when that was last noted
+        self.gate: Gate | None = None
         self.trace: Callable[[str], None] | None = None  # told of each event and action about a message
         self._idents: dict[int, int] = {}  # the traced messages' ids, by their numbers, until they are over
         clock.call_later(SWEEP_NS, self._sweep)
@@ -261,9 +272,21 @@
         exchange.guard = self.clock.call_later(
             exchange.deadline_ns + GUARD_NS - exchange.came_ns, lambda: self._overdue(exchange)
         )
-        self._give(lambda: self._request(exchange))
+        if self._shut(exchange):
+            self._doubt(exchange)
+        else:
+            self._give(lambda: self._request(exchange))
         return exchange
 
+    def _shut(self, exchange: Exchange) -> bool:
+        return self.gate is not None and not self.gate.may(self.class_names[exchange.message.klass])
+
+    def _doubt(self, exchange: Exchange) -> None:
+        """The rules in force may have been replaced: a back-off answer at once, with a time to come back."""
+        self.counters.add("in_doubt")
+        pause = self.settings.max_pause_ns // 2 if self.settings.pauses else 0
+        self._answer(exchange.number, "refused" if self._harmless(exchange) else "failed", pause)
+
     def inherit(self, message: Message, server: api.ServerId, north: North) -> Exchange:
         """A connection that ran at a transcriber before this node's start; it goes there and nowhere else."""
         exchange = self._new(message, north)
@@ -340,7 +363,9 @@
         Guards against a transcriber that discovery took off the list, or operators banned, while its
         connection came up: what was decided before is not sent after.
         """
-        return not relay.over and (relay.exchange.inherited or self.takes_work(relay.server))
+        if relay.over or relay.exchange.inherited:
+            return not relay.over
+        return self.takes_work(relay.server) and not self._shut(relay.exchange)
 
     def left_ms(self, relay: Relay) -> int:
         """What a transcriber is told that the node will wait."""
@@ -350,6 +375,8 @@
         """The relay's first line is out, to its last byte: from here on it may have run."""
         relay.written = True
         self.counters.add("relayed")
+        if self.gate is not None and not relay.exchange.inherited:
+            self.gate.wrote(self.class_names[relay.exchange.message.klass], self.inventory.name(relay.server))
 
     def up(self, relay: Relay) -> bool:
         """The transcriber took the connection. False: too late, the relay is over."""
@@ -595,6 +622,8 @@
         number = 0
         if exchange is not None:
             number, exchange.relays = exchange.relays, exchange.relays + 1
+            if self._shut(exchange):
+                self._doubt(exchange)
             if (
                 not exchange.answered and not exchange.standing and exchange.relay is None
                 and number < self.settings.max_attempts and exchange.deadline_ns > self.clock.now()
--- a/puffinpost/wiring/node.py
+++ b/puffinpost/wiring/node.py
@@ -34,6 +34,7 @@
     from puffinpost.fronts.mqtt import MqttFront
     from puffinpost.fronts.xmpp import XmppFront
     from puffinpost.net.flows import FlowSink
+    from puffinpost.wiring.agreed import Agreed
 
 FRESH_S = 4.0  # a start is owed its yes within 6 s; a list that does not come in time is not waited for
 FRESH_STEP_S = 0.01
@@ -92,6 +93,11 @@
         self._add_parts(told, dialler)
         self.bans = Bans(told.folder, told.name)
         self.console = Console(Operations(self.core, self.bans, self._unready).answer, call_later)
+        self.cluster: Agreed | None = None
+        if told.cluster is not None:
+            from puffinpost.wiring.agreed import Agreed
+
+            self.cluster = Agreed(self, told.cluster)
         self.succession = Succession(
             told.meeting, told.name, self.core, self.front, self.places, self,
             told.sockets - told.for_clients,
@@ -209,6 +215,8 @@
             log.say(f"reload: {problem}; what was in force stays")
             return
         self.counters.add("cfg_accepted")
+        if self.cluster is not None:
+            self.cluster.reloaded()
         host, port = self.config.discovery
         waiting = f"; cannot change while running: {', '.join(waits)}" if waits else ""
         classes = ", ".join(name for name in self.config.classes if name not in self.config.closed)
@@ -251,6 +259,8 @@
         self.core.follow_bans(self.bans.names)
         self._follow_bans()
         self._open_console()
+        if self.cluster is not None:
+            self.cluster.start()
         await self._take_place()
         listeners = self.succession.listeners = self._listen()
         self.succession.listen()
@@ -264,6 +274,8 @@
                     lambda: self.succession.succeeded, lambda: self.succession.passing)
         if self.flows is not None:
             await self.flows.close()
+        if self.cluster is not None:
+            await self.cluster.stop()
         log.say(f"{self.config.name} ends; counts: {self.counters.text()}")
 
 
