puffinpost mesh: processes of the program with faults between them, and settings by command

Change: emulator/mesh has a rig that starts nodes on loopback addresses of their own with a proxy for each directed pair, scenarios in TOML (kill -9, SIGSTOP, cuts both ways and one way, slow and dropped links, restarts with and without a folder, clocks fast and slow), drawn faults by seed, clients at every node, and the checker over the histories of all processes. puffinpost mesh run, explore and plot; puffinpost settings propose, status, diff, rollback, watch and voter. A node told to ignore its lease is found.

--- a/puffinpost/cli/main.py
+++ b/puffinpost/cli/main.py
@@ -87,6 +87,135 @@
     tour(rounds, pause_s)
 
 
+@puffinpost.group()
+def mesh() -> None:
+    """Many processes of the program on loopback, with faults between them, and what agreement promises."""
+
+
+@mesh.command("run")
+@click.argument("scenario", type=click.Path(path_type=Path))
+@click.option("--seed", default=1, show_default=True, help="Of all that is drawn.")
+@click.option("--history", type=click.Path(path_type=Path), help="Keep the history in this file.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object.")
+def mesh_run(scenario: Path, seed: int, history: Path | None, as_json: bool) -> None:
+    """Play SCENARIO (TOML) and check the history. Exits with 0 where all promises were kept, else 1."""
+    from puffinpost.cli.mesh import run as play
+
+    sys.exit(play(scenario, seed, history, as_json))
+
+
+@mesh.command("explore")
+@click.option("--quick", is_flag=True, help="Under half a minute.")
+def mesh_explore(quick: bool) -> None:
+    """Walk every order of events in small cases, and print a shortest one that breaks a promise."""
+    from puffinpost.cli.mesh import explore
+
+    sys.exit(explore(quick))
+
+
+@mesh.command("plot")
+@click.argument("history", type=click.Path(path_type=Path, exists=True))
+@click.option("--to", type=click.Path(path_type=Path), default=Path("mesh.png"), show_default=True)
+def mesh_plot(history: Path, to: Path) -> None:
+    """Draw the versions acted on by each node over time, faults as bands, and what was answered."""
+    from puffinpost.cli.mesh import draw
+
+    draw(history, to)
+
+
+@puffinpost.group()
+@click.option("--node", default="", envvar="GW_NAME", help="Which node, where the file does not say.")
+@click.pass_context
+def settings(context: click.Context, node: str) -> None:
+    """What all nodes agree on: asked of the node that GW_EDGE's file is about, on this machine."""
+    context.obj = node
+
+
+@settings.command("status")
+@click.option("--json", "as_json", is_flag=True)
+@click.pass_obj
+def settings_status(node: str, as_json: bool) -> None:
+    """Versions, leases, and who is behind and why."""
+    import json
+    import os
+
+    from puffinpost.cli.settings import reach, status_text
+
+    told = reach(dict(os.environ), node).ask("status")
+    click.echo(json.dumps(told) if as_json else status_text(told))
+
+
+@settings.command("propose")
+@click.argument("file", type=click.Path(path_type=Path, exists=True))
+@click.option("--why", required=True, help="For the history.")
+@click.option("--doc", default="settings", show_default=True)
+@click.option("--share", default=1.0, help="Of the nodes that act on it first; then all, if it does well.")
+@click.pass_obj
+def settings_propose(node: str, file: Path, why: str, doc: str, share: float) -> None:
+    """Propose FILE (TOML or JSON) as the next version, and wait for what becomes of it."""
+    import os
+
+    from puffinpost.cli.settings import content_of, reach, said
+
+    said(reach(dict(os.environ), node).propose(doc, content_of(file), why, share))
+
+
+@settings.command("rollback")
+@click.argument("number", type=int)
+@click.option("--why", required=True)
+@click.option("--doc", default="settings", show_default=True)
+@click.pass_obj
+def settings_rollback(node: str, number: int, why: str, doc: str) -> None:
+    """Propose the content of version NUMBER again, as a new version."""
+    import os
+
+    from puffinpost.cli.settings import reach, said, version_of
+
+    reached = reach(dict(os.environ), node)
+    content = version_of(reached.ask("document", doc), number)["content"]
+    said(reached.propose(doc, content, f"back to {number}: {why}", 1.0))
+
+
+@settings.command("diff")
+@click.argument("one", type=int)
+@click.argument("other", type=int, default=0)
+@click.option("--doc", default="settings", show_default=True)
+@click.pass_obj
+def settings_diff(node: str, one: int, other: int, doc: str) -> None:
+    """What differs between versions ONE and OTHER; without OTHER, the one in force."""
+    import os
+
+    from puffinpost.cli.settings import difference, reach
+
+    click.echo(difference(reach(dict(os.environ), node).ask("document", doc), one, other))
+
+
+@settings.command("watch")
+@click.pass_obj
+def settings_watch(node: str) -> None:
+    """Print the status at each change, until Ctrl-C."""
+    import os
+
+    from puffinpost.cli.settings import reach, watch
+
+    watch(reach(dict(os.environ), node))
+
+
+@settings.command("voter")
+@click.argument("name")
+@click.option("--identity", default="", help="Of its folder, as its status says; empty: it votes no more.")
+@click.option("--why", required=True)
+@click.pass_obj
+def settings_voter(node: str, name: str, identity: str, why: str) -> None:
+    """Have NAME vote, in the place of its lost folder or as one more, or no more. One change at a time."""
+    import os
+
+    from puffinpost.cli.settings import reach
+
+    reached = reach(dict(os.environ), node)
+    reached.change_voter(name, identity, why)
+
+
 def main() -> int:
     """Runs what the arguments name; the exit code."""
     puffinpost(prog_name="puffinpost")
--- /dev/null
+++ b/puffinpost/emulator/mesh/clients.py
@@ -0,0 +1,77 @@
+"""Clients of a mesh: short messages on the platform's lines at every node, each to its answer."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import random
+from collections import Counter
+
+from puffinpost.emulator.mesh.history import Notes
+from puffinpost.emulator.mesh.process import Process
+from puffinpost.emulator.world import CLASS
+
+WAIT_MS = 2000
+LONGEST_S = 45.0  # for an answer: a process may be stopped meanwhile
+
+
+class Clients:
+    """Asks at each node in turn, at so many messages a second and node."""
+
+    def __init__(self, nodes: dict[str, Process], notes: Notes, per_s: float, seed: int) -> None:
+        self.nodes, self.notes, self.rest_s = nodes, notes, 1.0 / per_s
+        self.chance = random.Random(seed)
+        self.idents = itertools.count(0x5EED_0000_0000_0001)
+        self.answers: Counter[tuple[int, str]] = Counter()  # by second and first word
+        self.tasks = [asyncio.ensure_future(self._at(node)) for node in nodes.values()]
+        self.asking: set[asyncio.Task[None]] = set()
+        self.closed = False
+
+    async def _at(self, node: Process) -> None:
+        while not self.closed:
+            await asyncio.sleep(self.rest_s * (0.5 + self.chance.random()))
+            if node.child is not None and not self.closed:
+                task = asyncio.ensure_future(self._ask(node))
+                self.asking.add(task)
+                task.add_done_callback(self.asking.discard)
+
+    async def _ask(self, node: Process) -> None:
+        """One message. One that a dead process took, or that none took, is no message of the history."""
+        ident, child = f"{next(self.idents):016x}", node.child
+        try:
+            reader, writer = await asyncio.open_connection(*node.front)
+        except OSError:
+            return
+        asked = len(self.notes.events)
+        self.notes.note(node.name, "asked", ident)
+        event = self.notes.events[asked]
+        try:
+            writer.write(f"OPEN {ident} 7f3a9c21e0b4d655 c={CLASS},d={WAIT_MS}\r\n".encode())
+            line = await asyncio.wait_for(reader.readline(), LONGEST_S)
+            if not line:
+                raise ConnectionError("it ended without an answer")
+            word = line.split()[0].decode()
+            self.notes.note(node.name, "answered", ident)
+            self.answers[int(asyncio.get_running_loop().time()), word] += 1
+            if word == "UP":
+                await asyncio.sleep(0.02)
+                writer.write(b"good morning\r\n")
+                await asyncio.wait_for(reader.readline(), LONGEST_S)
+        except (OSError, TimeoutError, asyncio.CancelledError):
+            if node.child is not child or child is None or child.poll() is not None or self.closed:
+                with contextlib.suppress(ValueError):
+                    self.notes.events.remove(event)
+        finally:
+            writer.close()
+
+    async def close(self) -> None:
+        """No new messages; waits for the answers of those that are out."""
+        self.closed = True
+        for task in self.tasks:
+            task.cancel()
+        if self.asking:
+            await asyncio.wait(self.asking, timeout=5.0)
+        for task in list(self.asking):
+            task.cancel()
+        await asyncio.gather(*self.tasks, *self.asking, return_exceptions=True)
--- /dev/null
+++ b/puffinpost/emulator/mesh/history.py
@@ -0,0 +1,39 @@
+"""Histories on disk: what each process wrote of itself, and what the rig did to them, on one clock."""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+
+import msgspec
+
+from puffinpost.emulator.mesh.checker import Event
+
+
+def read(paths: list[Path]) -> list[Event]:
+    """All events of these files, by their times; the torn last line of a killed process is left out."""
+    found = []
+    for path in paths:
+        for line in path.read_bytes().split(b"\n") if path.exists() else ():
+            try:
+                if line:
+                    found.append(msgspec.json.decode(line, type=Event))
+            except msgspec.DecodeError:
+                continue
+    return sorted(found, key=lambda it: it.t)
+
+
+def write(path: Path, events: list[Event]) -> None:
+    """One file with all of them."""
+    path.write_bytes(b"".join(msgspec.json.encode(it) + b"\n" for it in events))
+
+
+class Notes:
+    """What the rig itself sees and does."""
+
+    def __init__(self) -> None:
+        self.events: list[Event] = []
+
+    def note(self, node: str, kind: str, ident: str = "", doc: str = "", number: int = 0) -> None:
+        """One event, now."""
+        self.events.append(Event(time.monotonic_ns(), node, kind, doc, number, "", 0, ident))
--- /dev/null
+++ b/puffinpost/emulator/mesh/process.py
@@ -0,0 +1,104 @@
+"""One process of the program in a mesh: its files, its life, and an operator's questions to it."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from puffinpost.agreement.messages import Ask, Propose
+from puffinpost.cluster.operator import AskError, ask, settled
+
+ENDS_S = 10.0  # for a process to leave after SIGTERM
+Address = tuple[str, int]
+
+
+class Process:
+    """A node. ``configured`` and ``operators`` are the two files that it reads, as values."""
+
+    def __init__(self, name: str, folder: Path, configured: dict[str, Any], operators: str,
+                 cluster: str, inside: Address) -> None:
+        self.name, self.folder, self.cluster, self.inside = name, folder, cluster, inside
+        self.kept, self.history = folder / "kept", folder / "history"
+        host, _, port = str(configured["listen"]).rpartition(":")
+        self.front = host, int(port)
+        self.child: subprocess.Popen[bytes] | None = None
+        self.stopped = False
+        self.began = 0.0
+        folder.mkdir(parents=True, exist_ok=True)
+        (folder / "config.json").write_bytes(orjson.dumps(configured))
+        (folder / "edge.toml").write_text(operators)
+
+    def start(self) -> None:
+        """Begins a process; does not wait for it."""
+        told = {"GW_CONFIG": str(self.folder / "config.json"), "GW_EDGE": str(self.folder / "edge.toml"),
+                "TMPDIR": str(self.folder)}
+        kept = {name: value for name, value in os.environ.items() if not name.startswith("GW_")}
+        self.began = time.monotonic()
+        with (self.folder / "log").open("ab") as log:
+            command = [sys.executable, "-m", "puffinpost"]
+            self.child = subprocess.Popen(command, env={**kept, **told}, stderr=log)
+        self.stopped = False
+
+    @property
+    def running(self) -> bool:
+        """Whether there is a process that is not stopped."""
+        return self.child is not None and self.child.poll() is None and not self.stopped
+
+    def signal(self, number: int) -> None:
+        """Sends a signal to this process, where there is one."""
+        if self.child is not None and self.child.poll() is None:
+            self.child.send_signal(number)
+
+    def kill(self, folder: bool = True) -> None:
+        """kill -9, and waits for its end; without ``folder`` what it had on disk is lost too."""
+        if self.child is not None:
+            self.child.kill()
+            self.child.wait()
+        self.child, self.stopped = None, False
+        if not folder:
+            shutil.rmtree(self.kept, ignore_errors=True)
+
+    def stop(self) -> None:
+        """SIGSTOP: it does nothing, and its connections stay open."""
+        self.stopped = True
+        self.signal(signal.SIGSTOP)
+
+    def go_on(self) -> None:
+        """SIGCONT."""
+        self.signal(signal.SIGCONT)
+        self.stopped = False
+
+    async def end(self) -> int:
+        """SIGTERM, and its exit code."""
+        self.go_on()
+        self.signal(signal.SIGTERM)
+        until = time.monotonic() + ENDS_S
+        while self.child is not None and self.child.poll() is None and time.monotonic() < until:
+            await asyncio.sleep(0.01)
+        code = self.child.poll() if self.child is not None else None
+        self.kill()
+        return -signal.SIGKILL if code is None else code
+
+    async def ask(self, what: str, about: str = "") -> dict[str, Any]:
+        """An operator's question; empty where there is no answer."""
+        try:
+            told = await ask(self.inside, self.cluster, self.kept, Ask(what, about))
+        except AskError:
+            return {}
+        return dict(told)
+
+    async def propose(self, offer: Propose, within_s: float = 15.0) -> dict[str, str]:
+        """A proposal at this node, and what became of it; empty where that is not known."""
+        try:
+            return await settled(self.inside, self.cluster, self.kept, offer, within_s)
+        except AskError:
+            return {}
--- /dev/null
+++ b/puffinpost/emulator/mesh/rig.py
@@ -0,0 +1,190 @@
+"""A mesh of processes on loopback: nodes, the links between them, discovery, transcribers and clients."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import os
+import socket
+import time
+from pathlib import Path
+from typing import Any
+
+from puffinpost.agreement.messages import Propose
+from puffinpost.agreement.plan import Plan
+from puffinpost.emulator.mesh.checker import Breach, Event, check
+from puffinpost.emulator.mesh.clients import Clients
+from puffinpost.emulator.mesh.fabric import Fabric
+from puffinpost.emulator.mesh.history import Notes, read
+from puffinpost.emulator.mesh.process import Process
+from puffinpost.emulator.world import SETTINGS, Discovery, Transcriber
+
+CLUSTER = "mesh"
+STEP_S = 0.05
+
+
+# Below the ports that the kernel deals out, on addresses that are this mesh's alone.
+CLAIM, INSIDE, FRONT = 12_000, 12_001, 12_002
+
+
+def claimed() -> tuple[socket.socket, str]:
+    """A part of loopback for one mesh, and what holds it: meshes of several processes may play at once."""
+    for at in range(128):
+        part = f"127.{64 + (os.getpid() + at) % 128}"
+        with contextlib.suppress(OSError):
+            return socket.create_server((f"{part}.0.1", CLAIM)), part
+    raise RuntimeError("too many meshes at once")
+
+
+class Rig:
+    """``extra``: lines for the ``[cluster]`` table of all; ``own``: for one node's rehearsal table."""
+
+    def __init__(self, folder: Path, nodes: int, voters: int, seed: int = 1, within_s: float = 2.0,
+                 extra: str = "", own: dict[str, str] | None = None, clustered: bool = True,
+                 settings: dict[str, dict[str, Any]] | None = None) -> None:
+        self.folder, self.seed, self.within_s = folder, seed, within_s
+        self.names = [f"n{at}" for at in range(nodes)]
+        self.voters = self.names[:voters]
+        self.extra, self.own, self.clustered = extra, own or {}, clustered
+        self.settings = settings or {}
+        self.claim, part = claimed()
+        self.hosts = {name: f"{part}.{1 + at // 200}.{1 + at % 200}" for at, name in enumerate(self.names)}
+        self.inside = {name: (host, INSIDE) for name, host in self.hosts.items()}
+        self.notes = Notes()
+        self.proposals = itertools.count(1)
+        self.nodes: dict[str, Process] = {}
+        self.clients: Clients | None = None
+
+    async def start(self, transcribers: int = 2, per_s: float = 10.0, wait: bool = True) -> None:
+        """Starts everything; with ``wait``, all nodes are sure of what is agreed on after it."""
+        self.fabric = Fabric(self.seed, self.inside)
+        self.transcribers = [Transcriber(f"s-{at}", lambda line: None) for at in range(transcribers)]
+        for each in self.transcribers:
+            await each.start()
+        self.discovery = Discovery(self.transcribers)
+        await self.discovery.start()
+        for name in self.names:
+            self.nodes[name] = self._process(name)
+        for node in self.nodes.values():
+            node.start()
+        if per_s:
+            self.clients = Clients(self.nodes, self.notes, per_s, self.seed)
+        if wait and self.clustered:
+            await self.until_sure(60.0)
+
+    def _process(self, name: str) -> Process:
+        configured = {
+            "name": name, "listen": f"{self.hosts[name]}:{FRONT}",
+            "discovery": f"127.0.0.1:{self.discovery.port}", "seed": f"{self.seed:x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": self.discovery.list(),
+            "settings": {**SETTINGS, "FleetSize": len(self.names), **self.settings.get(name, {})},
+        }
+        folder = self.folder / name
+        return Process(name, folder, configured, self._operators(name, folder), CLUSTER, self.inside[name])
+
+    def _operators(self, name: str, folder: Path) -> str:
+        if not self.clustered:
+            return ""
+        plan = Plan(CLUSTER, name, tuple(self.names), tuple(self.voters), fanout=self._fanout())
+        known = {name, *self.voters, *plan.sources()}
+        members = []
+        for other in self.names:
+            # The place of a name in the row says whom it follows, so all are named; those that it never
+            # speaks
+            # with are at an address where nobody is.
+            spoken = other in known and other != name
+            host, at = self.fabric.address(name, other) if spoken else self.inside[other]
+            members.append(f'{other} = "{host}:{at}"')
+        host, at = self.inside[name]
+        return "\n".join([
+            "[cluster]", f'id = "{CLUSTER}"', f'listen = "{host}:{at}"', f"voters = {self.voters!r}",
+            f'folder = "{folder / "kept"}"', f'history = "{folder / "history"}"',
+            f"agree_within_s = {self.within_s}", self.extra, "[cluster.members]", *members,
+            "[cluster.rehearsal]", self.own.get(name, ""), "",
+        ])
+
+    def _fanout(self) -> int:
+        for line in self.extra.splitlines():
+            if line.startswith("fanout"):
+                return int(line.split("=")[1])
+        return 16
+
+    # --- what is known --------------------------------------------------------------------------------
+
+    async def status(self) -> dict[str, dict[str, Any]]:
+        """Each running node's own word."""
+        running = [node for node in self.nodes.values() if node.running]
+        told = await asyncio.gather(*(node.ask("status") for node in running))
+        return {node.name: it for node, it in zip(running, told, strict=True) if it}
+
+    async def leader(self) -> str:
+        """Who leads, as itself says; waits for one."""
+        async def led() -> str:
+            told = await self.status()
+            found = [name for name, it in told.items() if it["role"] == "leader" and it["sure"]]
+            return found[0] if found else ""
+        return str(await self.until(led, 20.0, "a leader"))
+
+    async def until(self, call: Any, within_s: float, what: str) -> Any:
+        """Waits until a call's answer is true; the answer."""
+        end = time.monotonic() + within_s
+        while time.monotonic() < end:
+            if answer := await call():
+                return answer
+            await asyncio.sleep(STEP_S)
+        raise TimeoutError(f"no {what} in {within_s:g} s: {await self.status()}")
+
+    async def until_sure(self, within_s: float, but: frozenset[str] = frozenset()) -> None:
+        """Waits until all that run hold a lease, and act on one version."""
+        async def sure() -> bool:
+            running = {name for name, node in self.nodes.items() if node.running} - but
+            told = {name: it for name, it in (await self.status()).items() if name not in but}
+            versions = {repr(sorted((doc, it2["all_act_on"]) for doc, it2 in it["documents"].items()))
+                        for it in told.values()}
+            return set(told) == running and all(it["sure"] for it in told.values()) and len(versions) == 1
+        await self.until(sure, within_s, "agreement of all")
+
+    # --- what is done ---------------------------------------------------------------------------------
+
+    async def propose(self, node: str = "", content: Any = None, doc: str = "settings",
+                      share: float = 1.0, within_s: float = 15.0) -> dict[str, str]:
+        """A proposal, at the leader where no node is named; what became of it goes into the history."""
+        number = next(self.proposals)
+        if content is None:
+            content = {"Limits": {**SETTINGS["Limits"], "AttemptsCap": 2 + number % 4},
+                       "Rules": {**SETTINGS["Rules"], "DrainGraceNs": 500_000_000 + number}}
+        name = node or await self.leader()
+        offer = Propose(f"p{number}", doc, content, "mesh", f"proposal {number}", int(time.time()), share)
+        found = await self.nodes[name].propose(offer, within_s)
+        if found.get("outcome") in ("accepted", "rejected"):
+            told = await self.nodes[name].ask("status")
+            version = told.get("documents", {}).get(doc, {}).get("all_act_on", 0)
+            accepted = found["outcome"] == "accepted"
+            self.notes.note(name, found["outcome"], offer.ident, doc, version if accepted else 0)
+        return found
+
+    def fault(self, node: str, what: str) -> None:
+        """Notes a fault."""
+        self.notes.note(node, "fault", what)
+
+    def events(self) -> list[Event]:
+        """The whole history."""
+        return sorted([*self.notes.events, *read([node.history for node in self.nodes.values()])],
+                      key=lambda it: it.t)
+
+    async def checked(self) -> list[Breach]:
+        """No new messages; those that are out have their answers, then all promises are checked."""
+        if self.clients is not None:
+            await self.clients.close()
+        return check(self.events(), int(self.within_s * 1e9), 2**63)
+
+    async def close(self) -> None:
+        """Ends all that was started here."""
+        if self.clients is not None:
+            await self.clients.close()
+        for node in self.nodes.values():
+            node.go_on()
+            node.kill()
+        self.fabric.close()
+        self.claim.close()
--- /dev/null
+++ b/tests/test_cluster_off.py
@@ -0,0 +1,92 @@
+"""Where ``[cluster]`` is off a node pays nothing for it; where it is on, its file is checked, and its CLI."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+from conftest import World
+from standins import ROOT
+
+from puffinpost.cli.main import puffinpost
+from puffinpost.config import schema
+from puffinpost.config.cluster import make, named
+from puffinpost.config.problems import ConfigError
+from puffinpost.emulator.mesh.rig import Rig
+
+OURS = ("puffinpost.agreement", "puffinpost.cluster", "sqlite3")
+
+
+def test_a_plain_start_loads_nothing_of_it_and_has_one_thread(world: World) -> None:
+    told = "import sys, puffinpost.wiring.node, puffinpost.config; print(*sys.modules)"
+    loaded = subprocess.check_output([sys.executable, "-c", told], cwd=ROOT, text=True).split()
+    assert "puffinpost.core" in loaded and not [name for name in loaded if name.startswith(OURS)]
+    node = world.start()
+    assert len(os.listdir(f"/proc/{node.process.pid}/task")) == 1
+
+
+def table(**more: object) -> schema.Cluster:
+    members = {name: f"127.0.0.1:{7000 + at}" for at, name in enumerate(("n0", "n1", "n2", "n3"))}
+    return schema.edge_of({"cluster": {
+        "id": "c", "members": members, "voters": ["n0", "n1", "n2"], "folder": "/tmp/x", **more,
+    }}).cluster
+
+
+@pytest.mark.parametrize(("more", "key"), [
+    ({"voters": ["n0", "n1"]}, "cluster.voters"), ({"voters": ["n0", "n1", "nx"]}, "cluster.voters"),
+    ({"members": {"n0": "here", "n1": "127.0.0.1:1", "n2": "127.0.0.1:2"}}, "cluster.members.n0"),
+    ({"members": dict.fromkeys(("n0", "n1", "n2"), "127.0.0.1:1")}, "cluster.members"),
+    ({"folder": ""}, "cluster.folder"), ({"name": "nx"}, "cluster.members"),
+    ({"agree_within_s": 0.1}, "cluster.agree_within_s"), ({"on_lost": "hope"}, "cluster.on_lost"),
+])
+def test_a_table_that_cannot_be_right_names_its_key(more: dict[str, object], key: str) -> None:
+    with pytest.raises((ConfigError, schema.Fault), match=key):
+        named(make(table(**more)), "n0")
+
+
+def test_a_followers_table_needs_no_folder() -> None:
+    made = named(make(table(folder="")), "n3")
+    assert made.folder is None and made.listen == ("127.0.0.1", 7003) and made.plan.sources()[0] == "n0"
+
+
+def test_operators_propose_look_compare_and_go_back(tmp_path: Path) -> None:
+    async def run() -> None:
+        rig = Rig(tmp_path, 3, 3)
+        try:
+            await rig.start(per_s=0)
+            runner = CliRunner()
+            leader = await rig.leader()
+            environ = {"GW_EDGE": str(rig.nodes[leader].folder / "edge.toml"), "GW_NAME": leader}
+
+            async def call(*words: str) -> tuple[int, str]:
+                told = await asyncio.to_thread(runner.invoke, puffinpost, ["settings", *words], env=environ)
+                return told.exit_code, told.output
+
+            first, second, bad = (tmp_path / name for name in ("1.toml", "2.json", "3.toml"))
+            first.write_text("OverShareWorth = 0.5\n")
+            second.write_text('{"OverShareWorth": 0.25}')
+            bad.write_text("Me = 4\n")
+            assert (await call("propose", str(first), "--why", "less"))[0] == 0
+            assert (await call("propose", str(second), "--why", "still less"))[0] == 0
+            code, text = await call("propose", str(bad), "--why", "no")
+            assert code == 1 and "settings.Me" in text
+            text = (await call("status"))[1]
+            assert "still less" in text and "3 nodes heard" in text and "lease" in text
+            numbers = [it["number"] for it in (await rig.nodes[leader].ask("document", "settings"))["past"]]
+            assert '- "OverShareWorth": 0.5' in (await call("diff", str(numbers[0])))[1]
+            assert (await call("rollback", str(numbers[0]), "--why", "too little"))[0] == 0
+            document = await rig.nodes[leader].ask("document", "settings")
+            assert document["active"]["content"] == {"OverShareWorth": 0.5}
+            assert document["active"]["why"] == f"back to {numbers[0]}: too little"
+            assert document["active"]["number"] > numbers[0]
+            assert (await call("diff", "999999"))[0] == 2
+        finally:
+            await rig.close()
+
+    asyncio.run(run())
+
--- /dev/null
+++ b/tests/test_mesh.py
@@ -0,0 +1,252 @@
+"""Processes of the program with faults between them: each history keeps all promises of agreement."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+import pytest
+from standins import SETTINGS
+
+from puffinpost.agreement.messages import Hello
+from puffinpost.cluster.frames import HEAD, FrameError, Frames, encode
+from puffinpost.cluster.links import OPERATOR
+from puffinpost.emulator.mesh.checker import check
+from puffinpost.emulator.mesh.history import read, write
+from puffinpost.emulator.mesh.play import Played, play
+from puffinpost.emulator.mesh.rig import CLUSTER, Rig
+from puffinpost.emulator.mesh.scenario import ScenarioError, parse
+
+STEP = '[[step]]\nat_s = {0}\ndo = "{1}"\nnode = "{2}"\nfor_s = {3}\n'
+NS = 1_000_000_000
+
+
+def steps(*told: tuple[float, str, str, float], first: str = "") -> str:
+    return first + "".join(STEP.format(*it) for it in told)
+
+
+def played(tmp_path: Path, text: str, seed: int = 1) -> Played:
+    found = asyncio.run(play(parse(text), tmp_path, seed))
+    assert found.breaches == [], [it.text() for it in found.breaches]
+    everyone = {f"n{at}" for at in range(parse(text).nodes)}
+    assert {it.node for it in found.events if it.kind == "act"} == everyone
+    return found
+
+
+SCENARIOS = {
+    "the leader is killed during a proposal": steps(
+        (0, "propose", "n0", 0), (2, "propose", "n4", 0), (2.2, "kill", "leader", 1.5)),
+    "a voter is stopped while a version is accepted": steps(
+        (0, "propose", "n0", 0), (2, "stop", "voter", 5), (2.5, "propose", "n5", 0)),
+    "the leader cannot be heard": steps(
+        (0, "propose", "n0", 0), (2, "cut one way", "leader", 4), (3, "propose", "n6", 0)),
+    "a follower is far away": steps(
+        (0, "slow", "n6", 8), (0.2, "propose", "n0", 0), (3, "propose", "n6", 0)),
+    "two proposals at once": steps(
+        (0, "propose", "n0", 0), (2, "propose", "n1", 0), (2, "propose", "n6", 0), (4, "propose", "n2", 0)),
+    "a clock is fast, one is slow": steps(
+        (0, "propose", "n0", 0), (2, "propose", "n1", 0), (4, "kill", "leader", 1), (4.5, "propose", "n6", 0),
+        first="[rates]\nn1 = 1.01\nn6 = 0.99\n"),
+    "a follower comes back without its folder": steps(
+        (0, "propose", "n0", 0), (2, "start fresh", "n5", 0), (2.5, "propose", "n1", 0)),
+    "one ends in order, and another, as in a release": steps(
+        (0, "propose", "n0", 0), (2, "end", "n0", 0.1), (3.5, "end", "n1", 0.1), (5, "end", "n2", 0.1)),
+}
+
+
+@pytest.mark.parametrize("text", SCENARIOS.values(), ids=SCENARIOS.keys())
+def test_a_scenario_keeps_all_promises(tmp_path: Path, text: str) -> None:
+    found = played(tmp_path, text)
+    accepted = sum(it.get("outcome") == "accepted" for it in found.outcomes)
+    assert accepted >= 1 and found.answers["UP"] > 50
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_drawn_faults_break_no_promise(tmp_path: Path, seed: int) -> None:
+    found = played(tmp_path, "[drawn]\nfor_s = 10\nevery_s = [0.3, 1.2]\nlasts_s = [0.1, 3.0]\n", seed)
+    assert sum(it.kind == "fault" for it in found.events) >= 5
+
+
+def test_who_has_lost_the_majority_refuses_what_is_new_and_keeps_what_stands(tmp_path: Path) -> None:
+    async def run() -> None:
+        rig = Rig(tmp_path, 7, 3)
+        try:
+            await rig.start(per_s=5)
+            assert (await rig.propose())["outcome"] == "accepted"
+            node = rig.nodes["n6"]
+            reader, writer = await asyncio.open_connection(*node.front)
+            writer.write(b"OPEN 00000000000000aa 7f3a9c21e0b4d655 c=live-text,d=2000\r\n")
+            assert (await reader.readline()).startswith(b"UP")
+            rig.fault("n0", "cut")
+            rig.fabric.cut(["n0"], rig.names)
+            rig.fabric.cut(["n1"], rig.names)
+
+            async def lost() -> bool:
+                return not any(it["sure"] for it in (await rig.status()).values())
+            await rig.until(lost, 10, "loss of the majority")
+            other = await asyncio.open_connection(*node.front)
+            other[1].write(b"OPEN 00000000000000ab 7f3a9c21e0b4d655 c=live-text,d=2000\r\n")
+            answer = (await asyncio.wait_for(other[0].readline(), 1)).split()
+            assert answer[0] == b"BUSY" and 0 < int(answer[1]) <= 2000  # at once, with a time to come back
+            writer.write(b"still here\r\n")
+            assert await asyncio.wait_for(reader.readline(), 2) == b"echo still here\r\n"
+            await asyncio.sleep(6)
+            rig.fabric.rules.heal()
+            await rig.until_sure(20)
+            writer.write(b"and on\r\n")
+            assert await asyncio.wait_for(reader.readline(), 2) == b"echo and on\r\n"
+            assert (await rig.propose("n6"))["outcome"] == "accepted"
+            assert await rig.checked() == []
+            writer.close()
+            other[1].close()
+        finally:
+            await rig.close()
+    asyncio.run(run())
+
+
+def test_all_are_killed_at_once_and_what_was_accepted_is_there_again(tmp_path: Path) -> None:
+    async def run() -> None:
+        rig = Rig(tmp_path, 7, 5)
+        try:
+            await rig.start(per_s=5)
+            assert (await rig.propose())["outcome"] == "accepted"
+            assert (await rig.propose("n6"))["outcome"] == "accepted"
+            before = (await rig.status())["n3"]["documents"]
+            for node in rig.nodes.values():
+                rig.fault(node.name, "kill")
+                node.kill()
+            for node in rig.nodes.values():
+                node.start()
+            await rig.until_sure(20)
+            after = (await rig.status())["n3"]["documents"]
+            assert after == before and after["settings"]["version"] > 3
+            assert await rig.checked() == []
+        finally:
+            await rig.close()
+    asyncio.run(run())
+
+
+def test_a_node_returns_after_fifty_versions(tmp_path: Path) -> None:
+    async def run() -> None:
+        rig = Rig(tmp_path, 7, 3, within_s=1.0)
+        try:
+            await rig.start(per_s=2)
+            assert (await rig.propose())["outcome"] == "accepted"
+            for name in ("n2", "n6"):  # a voter, whose log is long behind, and a follower
+                rig.fault(name, "kill")
+                rig.nodes[name].kill()
+            for _ in range(50):
+                assert (await rig.propose())["outcome"] == "accepted"
+            for name in ("n2", "n6"):
+                rig.nodes[name].start()
+            await rig.until_sure(20)
+            found = {it["documents"]["settings"]["version"] for it in (await rig.status()).values()}
+            assert len(found) == 1 and found.pop() > 100
+            assert await rig.checked() == []
+        finally:
+            await rig.close()
+    asyncio.run(run())
+
+
+def test_a_version_that_a_node_cannot_act_on_is_acted_on_by_nobody(tmp_path: Path) -> None:
+    async def run() -> None:
+        rig = Rig(tmp_path, 7, 3)
+        try:
+            await rig.start(per_s=5)
+            await rig.propose()
+            for content, key in (({"Limits": {**SETTINGS["Limits"], "AttemptsCap": 0}}, "max_attempts"),
+                                 ({"Rules": {"ColdFrom": 0.3}}, "Rules.DrainGraceNs"),
+                                 ({"Me": 1}, "settings.Me"), ([], "settings")):
+                found = await rig.propose("n5", content)
+                assert found["outcome"] == "rejected" and key in found["problem"], found
+            assert (await rig.propose("n5"))["outcome"] == "accepted"
+            assert await rig.checked() == []
+        finally:
+            await rig.close()
+    asyncio.run(run())
+
+
+def test_a_voter_that_lost_its_folder_votes_again_by_command(tmp_path: Path) -> None:
+    async def run() -> None:
+        rig = Rig(tmp_path, 7, 3)
+        try:
+            await rig.start(per_s=2)
+            await rig.propose()
+            leader = await rig.leader()
+            lost = next(name for name in rig.voters if name != leader)
+            rig.fault(lost, "lost folder")
+            rig.nodes[lost].kill(folder=False)
+            rig.nodes[lost].start()
+
+            async def fresh() -> Any:
+                told = (await rig.status()).get(lost, {})
+                return told.get("sure") and not told["votes"] and told["identity"]
+            identity = await rig.until(fresh, 20, "follower in its place")
+            await rig.propose("n5", {lost: identity}, doc="@voters", within_s=0.2)
+
+            async def votes() -> bool:
+                return bool((await rig.status()).get(lost, {}).get("votes"))
+            await rig.until(votes, 20, "vote of the new one")
+            assert (await rig.propose("n6"))["outcome"] == "accepted"
+            assert await rig.checked() == []
+        finally:
+            await rig.close()
+    asyncio.run(run())
+
+
+def test_a_planted_fault_is_found_and_the_history_shows_it(tmp_path: Path) -> None:
+    cut = '[[step]]\nat_s = 2\ndo = "cut"\nnode = "n6"\nfor_s = 6\n' + STEP.format(3.5, "propose", "n0", 0)
+    text = 'planted = ["lease_ignored"]\n' + steps((0, "propose", "n0", 0)) + cut
+    found = asyncio.run(play(parse(text), tmp_path, 1))
+    assert any("two versions" in it.promise and "n6" in it.text() for it in found.breaches)
+    write(tmp_path / "all", found.events)
+    assert check(read([tmp_path / "all"]), 2 * NS, 2**63) != []
+
+
+def test_a_link_that_is_no_members_ends_alone_and_is_counted(tmp_path: Path) -> None:
+    async def run() -> None:
+        rig = Rig(tmp_path, 3, 3)
+        try:
+            await rig.start(per_s=0)
+            hello = Hello(CLUSTER, 1, "n1", "x")
+            bad: dict[str, bytes] = {
+                "foreign": encode(Hello("other", 1, "n1", "x")),
+                "not_member": encode(Hello(CLUSTER, 1, "nx", "x")),
+                "other_protocol": encode(Hello(CLUSTER, 2, "n1", "x")),
+                "oversized": encode(hello) + HEAD.pack(2**30, 0),
+                "garbled": encode(hello) + HEAD.pack(2, 0) + b"xx",
+                "operator without its token": encode(Hello(CLUSTER, 1, OPERATOR, "guess")),
+            }
+            for kind, data in bad.items():
+                reader, writer = await asyncio.open_connection(*rig.inside["n0"])
+                writer.write(data)
+                said = Frames().feed(await asyncio.wait_for(reader.read(), 5))
+                assert [type(it) for it in said] in ([], [Hello]), kind  # it ends, and nothing is done for it
+                writer.close()
+            assert all(it["sure"] for it in (await rig.status()).values())
+            assert (await rig.propose("n0"))["outcome"] == "accepted"
+        finally:
+            await rig.close()
+    asyncio.run(run())
+
+
+def test_frames_come_whole_whatever_the_pieces() -> None:
+    data = encode(Hello("c", 1, "n", "i")) * 3
+    for size in (1, 3, 7, 1000):
+        frames = Frames()
+        found = [said for at in range(0, len(data), size) for said in frames.feed(data[at:at + size])]
+        assert found == [Hello("c", 1, "n", "i")] * 3
+    for at in range(len(data) // 3):
+        with pytest.raises(FrameError):  # a flipped bit anywhere; enough follows for a length that is wrong
+            spoilt = bytearray(data[:len(data) // 3])
+            spoilt[at] ^= 0x10
+            Frames().feed(bytes(spoilt) + bytes(70_000_000 if at < 4 else 0))
+
+
+def test_a_scenario_that_cannot_be_right_names_its_key() -> None:
+    melts = "[[step]]\nat_s = 1\ndo = 'melt'"
+    for text, key in (("nodes = 0", "nodes"), (melts, "step[0].do"), ("x = 1", "x")):
+        with pytest.raises(ScenarioError, match="`") as problem:
+            parse(text)
+        assert key in str(problem.value)
