--- a/puffinpost/emulator/mesh/fabric.py
+++ b/puffinpost/emulator/mesh/fabric.py
@@ -10,7 +10,7 @@
 import asyncio
 import contextlib
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterable
 
 from tornado.netutil import bind_sockets
@@ -32,6 +32,7 @@
         self.delay_s: dict[tuple[str, str], float] = {}
         self.jitter_s: dict[tuple[str, str], float] = {}
         self.rate: dict[tuple[str, str], float] = {}  # bytes a second
+        self.carried: Counter[str] = Counter()  # bytes that each node has sent
 
     def wait_s(self, pair: tuple[str, str], size: int) -> float:
         """How long a piece of that size takes on its way."""
@@ -111,6 +112,7 @@
                     while way in rules.silent:
                         await asyncio.sleep(STEP_S)
                     kept.popleft()
+                    rules.carried[way[0]] += len(data)
                     await target.write(data)
         finally:
             taking.cancel()
