Bans and the list are agreed on too: changes merged in the log, read by the voters for all

Change: proposals about bans and the list are changes, merged in the log's order and in force there; of a transcriber's entries its own order decides. Voters read discovery; followers do once they have no lease, and what their own watch says holds then. The console's ban is a proposal to all. Found on the way: a word of discovery that changed nothing was asked for again at once, ten times a second, as the list agreed on does not have its number; each node keeps the last number that it heard. Measured: three scenarios of 5 and 7 processes: discovery gone for 10 s during a change and the reader killed after it, bans and their end from one node, the majority lost, where the followers read for themselves.

--- a/puffinpost/agreement/documents.py
+++ b/puffinpost/agreement/documents.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from puffinpost.agreement.merging import DIRECT, merged
+from puffinpost.agreement.merging import problem as wrong
 from puffinpost.agreement.messages import Command, Decide, Propose
 
 PAST = 20  # versions kept of each document, for looks, comparison and a way back
@@ -117,6 +119,8 @@
         document = self.documents.get(told.doc) or Document(told.doc, 0)
         if self.outcome(told.ident) is not None or getattr(document.pending, "ident", "") == told.ident:
             return None  # offered twice
+        if told.doc in DIRECT:
+            return self._merge(index, term, document, told)
         if document.pending is not None or document.staged is not None:
             self._settle(told.ident, told.doc, "rejected", "another proposal is not done with yet", index)
             return None
@@ -124,6 +128,18 @@
                        told.at_s, told.share)
         return msgspec.structs.replace(document, changed=index, pending=made)
 
+    def _merge(self, index: int, term: int, document: Document, told: Propose) -> Document | None:
+        before = document.active
+        content = merged(told.doc, before.content if before is not None else None, told.content)
+        mark = digest(content)
+        problem = wrong(told.doc, told.content)
+        if problem or (before is not None and before.hash == mark):
+            self._settle(told.ident, told.doc, "rejected" if problem else "accepted", problem, index)
+            return None
+        self._settle(told.ident, told.doc, "accepted", "", index)
+        made = Version(index, term, mark, content, told.ident, told.by, told.why, told.at_s)
+        return self._activate(document, index, made)
+
     def _decide(self, index: int, told: Decide) -> Document | None:
         for document in self.documents.values():
             pending, staged = document.pending, document.staged
--- a/puffinpost/cli/main.py
+++ b/puffinpost/cli/main.py
@@ -80,8 +80,17 @@
 @puffinpost.command("try")
 @click.option("--rounds", default=0, help="End after so many; 0: at Ctrl-C.")
 @click.option("--pause-s", default=5.0, show_default=True, help="Between two rounds.")
-def try_(rounds: int, pause_s: float) -> None:
-    """Start a small world on loopback, with one node and all its fronts, and open sessions in it."""
+@click.option("--nodes", default=1, type=click.IntRange(1, 200), help="Several agree with one another.")
+def try_(rounds: int, pause_s: float, nodes: int) -> None:
+    """Start a small world on loopback, with one node and all its fronts, and open sessions in it.
+
+    With --nodes, so many nodes that agree on settings, bans and the list, and clients at each.
+    """
+    if nodes > 1:
+        from puffinpost.cli.together import run as together
+
+        together(nodes, rounds, pause_s)
+        return
     from puffinpost.cli.tour import run as tour
 
     tour(rounds, pause_s)
--- a/puffinpost/emulator/mesh/checker.py
+++ b/puffinpost/emulator/mesh/checker.py
@@ -11,6 +11,9 @@
 from dataclasses import dataclass, field
 
 
+TOLD_NS = 500_000_000  # nothing new goes to a transcriber this long after its drain was told
+
+
 @dataclass(frozen=True, slots=True)
 class Event:
     """Something that a node did. ``t``: ns of the one clock. ``kind``: see below; the rest as the kind needs.
@@ -125,7 +128,27 @@
             for ident, event in asked.items() if counts[ident] != 1][:1]
 
 
+def none_to_banned(events: list[Event], within_ns: int) -> list[Breach]:
+    """Nothing new to a transcriber 500 ms and T after all agreed that it is banned or drains, until it is
+    back.
+
+    ``banned`` and ``lifted`` name it by ``ident``.
+    """
+    since: dict[str, Event] = {}
+    for event in sorted(events, key=lambda it: it.t):
+        if event.kind == "banned":
+            since.setdefault(event.ident, event)
+        elif event.kind == "lifted":
+            since.pop(event.ident, None)
+        elif event.kind == "sent" and event.ident in since:
+            first = since[event.ident]
+            if event.t - first.t > within_ns + TOLD_NS:
+                return [Breach("something new went to a banned transcriber", (first, event))]
+    return []
+
+
 def check(events: list[Event], within_ns: int, settled_ns: int) -> list[Breach]:
     """All promises."""
     return [*contradictions(events, within_ns), *one_content(events), *never_back(events),
-            *never_lost(events, settled_ns), *not_rejected(events), *one_answer(events)]
+            *never_lost(events, settled_ns), *not_rejected(events), *one_answer(events),
+            *none_to_banned(events, within_ns)]
--- a/puffinpost/emulator/mesh/rig.py
+++ b/puffinpost/emulator/mesh/rig.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Any
 
+from puffinpost.agreement.merging import BANS, LIST
 from puffinpost.agreement.messages import Propose
 from puffinpost.agreement.plan import Plan
 from puffinpost.emulator.mesh.checker import Breach, Event, check
@@ -162,8 +163,27 @@
             version = told.get("documents", {}).get(doc, {}).get("all_act_on", 0)
             accepted = found["outcome"] == "accepted"
             self.notes.note(name, found["outcome"], offer.ident, doc, version if accepted else 0)
+            if accepted and doc == BANS and isinstance(content, dict):
+                for server in content.get("ban", {}):
+                    self.notes.note(name, "banned", server)
+                for server in content.get("lift", []):
+                    self.notes.note(name, "lifted", server)
         return found
 
+    async def told(self, server: str, status: str, within_s: float = 20.0) -> None:
+        """Discovery tells of a transcriber; returns once a node has that as agreed on."""
+        self.discovery.tell(server, status)
+
+        async def agreed() -> bool:
+            for node in self.nodes.values():
+                document = await node.ask("document", LIST) if node.running else {}
+                entry = (document.get("active") or {}).get("content", {}).get(server, {})
+                if entry.get("status") == status:
+                    return True
+            return False
+        await self.until(agreed, within_s, f"list with {server} {status}")
+        self.notes.note("", "lifted" if status == "up" else "banned", server)
+
     def fault(self, node: str, what: str) -> None:
         """Notes a fault."""
         self.notes.note(node, "fault", what)
--- a/puffinpost/emulator/world.py
+++ b/puffinpost/emulator/world.py
@@ -137,18 +137,31 @@
 
 
 class Discovery:
-    """Tells a list that never changes, and lets watches wait."""
+    """Tells its list, and lets watches wait for a change."""
 
     def __init__(self, transcribers: list[Transcriber]) -> None:
         self.transcribers = transcribers
         self.port = 0
+        self.index = 1
+        self.statuses: dict[str, str] = {}
+        self.down = False  # calls are taken and not answered
+        self.calls = 0
+        self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
 
+    def tell(self, name: str, status: str) -> None:
+        """A transcriber has another status from now on."""
+        self.index += 1
+        self.statuses[name] = status
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def list(self) -> dict[str, Any]:
         """The whole list, in discovery's form."""
         entries = [{"name": each.name, "address": f"127.0.0.1:{each.port}", "zone": "amman", "type": "large",
-                    "group": 0, "status": "up", "weight": 1.0, "since_ms": 0} for each in self.transcribers]
-        return {"index": 1, "snapshot": True, "endpoints": entries}
+                    "group": 0, "status": self.statuses.get(each.name, "up"), "weight": 1.0, "since_ms": 0}
+                   for each in self.transcribers]
+        return {"index": self.index, "snapshot": True, "endpoints": entries}
 
     async def start(self) -> None:
         """Listens on a port of its own."""
@@ -161,11 +174,18 @@
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 query = parse_qs(urlsplit(head.split(b" ")[1].decode()).query)
-                if "after" in query and int(query["after"][0]) >= 1:
-                    await asyncio.sleep(int(query.get("wait_ms", ["0"])[0]) / 1000)
-                    body = orjson.dumps({"index": 1, "snapshot": False, "endpoints": []})
-                else:
-                    body = orjson.dumps(self.list())
+                self.calls += 1
+                body = orjson.dumps(self.list())
+                if "after" in query and int(query["after"][0]) >= self.index:
+                    with contextlib.suppress(TimeoutError):
+                        wait_s = int(query.get("wait_ms", ["0"])[0]) / 1000
+                        await asyncio.wait_for(self._changed.wait(), wait_s)
+                    news = self.list()
+                    if int(query["after"][0]) >= self.index:
+                        news = {"index": self.index, "snapshot": False, "endpoints": []}
+                    body = orjson.dumps(news)
+                while self.down:
+                    await asyncio.sleep(0.05)
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
                 await writer.drain()
         writer.close()
--- a/puffinpost/net/discovery.py
+++ b/puffinpost/net/discovery.py
@@ -38,6 +38,17 @@
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._run())
 
+    def stop(self) -> None:
+        """Watches no more, and is not told of it."""
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+    @property
+    def running(self) -> bool:
+        """Whether a watch goes on."""
+        return self._task is not None
+
     def redirect(self, address: tuple[str, int]) -> None:
         """Leaves an address for another, which is asked at once and for the whole list.
 
--- a/puffinpost/operations.py
+++ b/puffinpost/operations.py
@@ -22,6 +22,8 @@
         self.core = core
         self.bans = bans
         self.unready = unready
+        # Where nodes agree on bans: proposes one to all, or a call back (None).
+        self.shared: Callable[[str, int | None], str] | None = None
 
     def answer(self, call: Call) -> Answer:
         """The answer to a call."""
@@ -52,6 +54,10 @@
         """The ban is in the file, and in force here, before the caller has its yes."""
         if self.core.inventory.find(name) is None and name not in self.bans.names:
             return Answer(HTTPStatus.NOT_FOUND, f"there is no transcriber {name[:80]}\n")
+        if self.shared is not None:
+            ident = self.shared(name, time.time_ns() if banned else None)
+            what = "banned" if banned else "in use"
+            return Answer(HTTPStatus.ACCEPTED, f"that {name} is {what} at all nodes is proposed: {ident}\n")
         try:
             self.bans.change(name, time.time_ns() if banned else None)
         except OSError as problem:
--- a/puffinpost/wiring/agreed.py
+++ b/puffinpost/wiring/agreed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -9,7 +10,7 @@
 import orjson
 
 from puffinpost import config, log
-from puffinpost.agreement import kept
+from puffinpost.agreement import kept, merging
 from puffinpost.agreement.documents import Version, digest
 from puffinpost.agreement.messages import Propose
 from puffinpost.cluster.node import Cluster
@@ -20,7 +21,8 @@
 if TYPE_CHECKING:
     from puffinpost.wiring.node import Node
 
-SETTINGS, BANS = "settings", "bans"
+SETTINGS, BANS, LIST = "settings", merging.BANS, merging.LIST
+OTHERS_S = 0.3  # a voter that does not lead leaves it to the leader to tell what discovery said, for so long
 
 
 class History:
@@ -48,6 +50,8 @@
             self.cluster = Cluster(told, node.config.seed, self.check, self.change, node.counters.add)
         except StoreError as problem:
             raise config.ConfigError(f"cluster.folder: {problem}") from None
+        self.answer: dict[str, Any] = {}  # discovery's last one here
+        self.was_current = False
         node.core.gate = self
         node.core.on_end.append(self._ended)
 
@@ -55,6 +59,7 @@
         """Begins to talk."""
         self.history.note("up")
         self.cluster.start()
+        self._look()
 
     async def stop(self) -> None:
         """Ends the links."""
@@ -69,7 +74,7 @@
     def wrote(self, klass: str, server: str) -> None:
         """Something new went to a transcriber: this is when the node acts on its version."""
         acting = self.cluster.member.acting
-        for name in (SETTINGS, BANS):
+        for name in (SETTINGS, BANS, LIST):
             document, version = acting.documents.get(name), acting.version(name)
             if document is not None and version is not None:
                 self.history.note("act", doc=name, number=version.number, hash=version.hash,
@@ -89,11 +94,8 @@
             except config.ConfigError as problem:
                 return str(problem)
             return kept.problem(content)
-        if doc == BANS:
-            right = isinstance(content, dict) and all(
-                isinstance(since, int) and not isinstance(since, bool) for since in content.values()
-            )
-            return "" if right else "bans: wants names, each with the time of its ban in ns"
+        if doc in merging.DIRECT:
+            return ""  # looked at where it is proposed, and again where it is merged
         return f"{doc}: there is no such document"
 
     def change(self, doc: str, version: Version) -> None:
@@ -104,6 +106,8 @@
             node.core.retune(node.config.settings, node.config.classes, node.config.closed)
         elif doc == BANS:
             self.ban({str(name): int(since) for name, since in version.content.items()})
+        elif doc == LIST:
+            self._list()
         log.say(f"cluster: acts on {doc} {version.number} ({version.hash[:8]}), by {version.by or 'nobody'}")
 
     def ban(self, names: dict[str, int]) -> None:
@@ -117,14 +121,64 @@
         self.node.core.follow_bans(names)
         self.node.prober.forget(self.node.core.takes_work)
 
-    def banned(self, name: str, since_ns: int | None) -> None:
-        """Operators ban a transcriber at this node's console, or call it back: a proposal to all."""
-        version = self.cluster.member.acting.version(BANS)
-        names = dict(version.content) if version is not None else dict(self.node.bans.names)
-        names.pop(name, None)
-        if since_ns is not None:
-            names[name] = since_ns
-        self.propose(BANS, names, f"{'ban' if since_ns is not None else 'call back'} {name}")
+    def banned(self, name: str, since_ns: int | None) -> str:
+        """Operators ban a transcriber at this console, or call it back: a proposal to all, its ident."""
+        change = {"lift": [name]} if since_ns is None else {"ban": {name: since_ns}}
+        return self.propose(BANS, change, f"{'call back' if since_ns is None else 'ban'} {name}")
+
+    # --- the list ---------------------------------------------------------------------------------------
+
+    def reads(self) -> bool:
+        """Whether this node asks discovery: the voters do for all, and each for itself without a lease.
+
+        Guards against a list that stands still where the one who reads for all has died or cannot reach
+        discovery: each voter reads, and one that finds something missing in what is agreed on says so.
+        """
+        return self.told.plan.name in self.told.plan.voters or not self._current()
+
+    def _current(self) -> bool:
+        member = self.cluster.member
+        return member.acting.lease.held(self.cluster.clock()) and LIST in member.acting.documents
+
+    def listed(self, answer: dict[str, Any]) -> bool:
+        """Discovery told this node; whether what is agreed on holds, and not this."""
+        self.answer = answer
+        if not self._current() and LIST in self.cluster.member.acting.documents:
+            return False  # without a lease its own watch holds
+        leads = self.cluster.member.leader in ("", self.told.plan.name)
+        asyncio.get_running_loop().call_later(0.0 if leads else OTHERS_S, self._say_list, answer)
+        return self._current()
+
+    def index(self) -> int:
+        """Discovery's last word to this node."""
+        index = self.answer.get("index", 0)
+        return index if isinstance(index, int) else 0
+
+    def _say_list(self, answer: dict[str, Any]) -> None:
+        version = self.cluster.member.acting.version(LIST)
+        before = version.content if version is not None else None
+        if merging.problem(LIST, answer) or merging.merged(LIST, before, answer) == before:
+            return
+        self.propose(LIST, answer, f"discovery's {answer.get('index')}")
+
+    def _list(self) -> None:
+        version = self.cluster.member.acting.version(LIST)
+        if version is not None and self._current():
+            self.node.core.inventory_told(merging.as_discovery_tells(version.content))
+            self.node.prober.forget(self.node.core.takes_work)
+
+    def _look(self) -> None:
+        """Own watch or what is agreed on: whichever holds now."""
+        asyncio.get_running_loop().call_later(self.told.plan.agree_within_ns / 4e9, self._look)
+        current = self._current()
+        if current and not self.was_current:
+            self._list()
+        self.was_current = current
+        watch = self.node.watch
+        if self.reads() and not watch.running:
+            watch.start()
+        elif not self.reads() and watch.running:
+            watch.stop()
 
     def reloaded(self) -> None:
         """SIGHUP read the node's own file again: its shared settings become a proposal."""
@@ -139,9 +193,10 @@
         if version is None or digest(content) != version.hash:
             self.propose(SETTINGS, content, "SIGHUP")
 
-    def propose(self, doc: str, content: Any, why: str) -> None:
-        """Offers a version of a document from here."""
+    def propose(self, doc: str, content: Any, why: str) -> str:
+        """Offers a version of a document, or a change of one, from here; its ident."""
         now = time.time_ns()
         ident = f"{self.told.plan.name}-{now:x}"
         self.cluster.offer(Propose(ident, doc, content, self.told.plan.name, why, now // 10**9))
-        log.say(f"cluster: {ident} proposes {doc}: {why}")
+        log.say(f"cluster: {ident} proposes {doc}: {why}", often=True)
+        return ident
--- a/puffinpost/wiring/node.py
+++ b/puffinpost/wiring/node.py
@@ -78,7 +78,7 @@
         self.prober = Prober(lambda: self.core.settings.report_fields, self.core.probed)
         self.watch = Watch(
             told.discovery, Following(self.core.balancer.asking.shared, bool(told.known)),
-            lambda: self.inventory.index, self._told, self.core.inventory_failed,
+            self._index, self._told, self.core.inventory_failed,
         )
         if told.trace:
             self.core.trace = log.trace
@@ -92,12 +92,14 @@
         self.registry: Registry | None = None
         self._add_parts(told, dialler)
         self.bans = Bans(told.folder, told.name)
-        self.console = Console(Operations(self.core, self.bans, self._unready).answer, call_later)
+        operations = Operations(self.core, self.bans, self._unready)
+        self.console = Console(operations.answer, call_later)
         self.cluster: Agreed | None = None
         if told.cluster is not None:
             from puffinpost.wiring.agreed import Agreed
 
             self.cluster = Agreed(self, told.cluster)
+            operations.shared = self.cluster.banned
         self.succession = Succession(
             told.meeting, told.name, self.core, self.front, self.places, self,
             told.sockets - told.for_clients,
@@ -140,14 +142,22 @@
             self.prober.probe(server, address)
 
     def subscribe(self) -> None:
-        self.watch.start()
+        if self.cluster is None or self.cluster.reads():
+            self.watch.start()
 
     def log(self, text: str) -> None:
         log.say(text)
 
     # --- running ------------------------------------------------------------------------------------
 
+    def _index(self) -> int:
+        """Discovery's last word that is known here; in what is agreed on a word that changed nothing is not."""
+        told = self.cluster.index() if self.cluster is not None else 0
+        return max(self.inventory.index, told)
+
     def _told(self, answer: dict[str, Any]) -> None:
+        if self.cluster is not None and self.cluster.listed(answer):
+            return  # it comes back as what all have agreed on
         self.core.inventory_told(answer)
         self.prober.forget(self.core.takes_work)
 
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from puffinpost.agreement import kept
+from puffinpost.agreement import kept, merging
 from puffinpost.agreement.documents import Documents, Kept, Version, digest, staged_at
 from puffinpost.agreement.lease import DRIFT, HOPS, Lease, span_ns
 from puffinpost.agreement.messages import Decide, Propose
@@ -208,6 +208,41 @@
     assert numbers == sorted(set(numbers)) and len(numbers) <= 20
 
 
+ENTRIES: st.SearchStrategy[dict[str, Any]] = st.builds(
+    dict, name=st.sampled_from("abc"), since_ms=st.integers(0, 2), status=st.sampled_from(["up", "draining"])
+)
+
+
+@given(st.lists(st.tuples(st.integers(1, 6), st.lists(ENTRIES, max_size=3, unique_by=lambda it: it["name"])),
+                min_size=1, max_size=5), st.randoms(use_true_random=False))
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_a_lists_entries_hold_by_their_own_order_whatever_comes_first(
+    told: list[tuple[int, list[dict[str, Any]]]], chance: random.Random
+) -> None:
+    """Discovery has one word for each index; the words come in any order, and twice."""
+    words = {index: {"index": index, "snapshot": False, "endpoints": entries} for index, entries in told}
+    results = []
+    for _ in range(2):
+        order = [*words.values(), *words.values()]
+        chance.shuffle(order)
+        content: Any = None
+        for word in order:
+            content = merging.merged(merging.LIST, content, word)
+        results.append({name: (it["since_ms"], it["status"]) for name, it in content.items()})
+    assert results[0] == results[1]
+
+
+def test_bans_of_two_consoles_at_once_both_hold() -> None:
+    content = merging.merged("bans", None, {"ban": {"a": 1}})
+    content = merging.merged("bans", content, {"ban": {"b": 2, "a": 9}})
+    assert content == {"a": 1, "b": 2} and merging.merged("bans", content, {"lift": ["a"]}) == {"b": 2}
+    full = {"index": 9, "snapshot": True, "endpoints": [{"name": "b", "status": "up"}]}
+    listed = merging.merged("list", {"a": {"name": "a", "status": "up", "index": 3}}, full)
+    assert [it["name"] for it in merging.as_discovery_tells(listed)["endpoints"]] == ["b"]
+    for bad in ({"ban": {"a": "x"}}, {"x": 1}, 5):
+        assert merging.problem("bans", bad) and merging.merged("bans", content, bad) == content
+
+
 def test_what_a_content_keeps_is_checked() -> None:
     good = {"Classes": [{"Name": "a"}], "kept": {"classes": ["a"], "for_s": 60}}
     assert kept.problem(good) == "" and kept.kept_of(good) == (frozenset({"a"}), 60 * S)
--- a/tests/test_cluster_off.py
+++ b/tests/test_cluster_off.py
@@ -54,6 +54,21 @@
     assert made.folder is None and made.listen == ("127.0.0.1", 7003) and made.plan.sources()[0] == "n0"
 
 
+def test_three_nodes_to_look_at_in_one_command() -> None:
+    told = CliRunner().invoke(puffinpost, ["try", "--nodes", "3", "--rounds", "1"])
+    assert told.exit_code == 0 and "n0, n1, n2 vote" in told.output and "nodes heard" in told.output
+
+
+def test_a_scenario_is_played_kept_and_drawn(tmp_path: Path) -> None:
+    (tmp_path / "calm.toml").write_text("nodes = 3\n[[step]]\nat_s = 0\ndo = 'propose'\n")
+    kept = tmp_path / "history"
+    words = ["mesh", "run", str(tmp_path / "calm.toml"), "--history", str(kept)]
+    told = CliRunner().invoke(puffinpost, words)
+    assert told.exit_code == 0 and "all promises kept" in told.output and kept.stat().st_size > 1000
+    (tmp_path / "bad.toml").write_text("nodes = 'many'")
+    assert CliRunner().invoke(puffinpost, ["mesh", "run", str(tmp_path / "bad.toml")]).exit_code == 2
+
+
 def test_operators_propose_look_compare_and_go_back(tmp_path: Path) -> None:
     async def run() -> None:
         rig = Rig(tmp_path, 3, 3)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -167,6 +167,83 @@
     asyncio.run(run())
 
 
+def test_a_list_that_changes_while_discovery_is_gone_holds_at_all_once_it_is_back(tmp_path: Path) -> None:
+    async def run() -> None:
+        rig = Rig(tmp_path, 7, 3)
+        try:
+            await rig.start(per_s=10, transcribers=3)
+            calls = rig.discovery.calls
+            rig.discovery.down = True
+            rig.fault("", "discovery is down")
+            rig.discovery.tell("s-0", "draining")
+            await asyncio.sleep(10)
+            rig.discovery.down = False
+            await rig.told("s-0", "draining")
+            leader = await rig.leader()
+            rig.fault(leader, "kill")
+            rig.nodes[leader].kill()
+            await rig.told("s-1", "draining")  # another voter has read it
+            rig.nodes[leader].start()
+            await asyncio.sleep(4)
+            await rig.told("s-0", "up")
+            await rig.until_sure(10)
+            assert await rig.checked() == []
+            assert {it.ident for it in rig.events() if it.kind == "sent"} == {"s-0", "s-1", "s-2"}
+            assert rig.discovery.calls - calls < 60  # the voters' alone
+        finally:
+            await rig.close()
+    asyncio.run(run())
+
+
+def test_a_ban_at_one_node_holds_at_all_and_so_does_its_end(tmp_path: Path) -> None:
+    async def run() -> None:
+        rig = Rig(tmp_path, 5, 3)
+        try:
+            await rig.start(per_s=10, transcribers=2)
+            changes: list[dict[str, Any]] = [{"ban": {"s-0": 5}}, {"lift": ["s-0"], "ban": {"s-1": 7}}]
+            for change, only in zip(changes, ("s-1", "s-0"), strict=True):
+                assert (await rig.propose("n4", change, doc="bans"))["outcome"] == "accepted"
+
+                async def alone(server: str = only) -> bool:
+                    return [it.ident for it in rig.events() if it.kind == "sent"][-10:] == [server] * 10
+                await rig.until(alone, 20, "placements on the other alone")
+            assert (await rig.propose("n4", {"ban": {"s-0": "now"}}, doc="bans"))["outcome"] == "rejected"
+            assert await rig.checked() == []
+        finally:
+            await rig.close()
+    asyncio.run(run())
+
+
+def test_without_the_majority_each_node_reads_the_list_itself(tmp_path: Path) -> None:
+    async def run() -> None:
+        rig = Rig(tmp_path, 5, 3, extra='on_lost = "keep"')
+        try:
+            await rig.start(per_s=10, transcribers=2)
+            await rig.propose()
+            rig.fault("n0", "cut")
+            rig.fabric.cut(["n0", "n1"], rig.names)
+
+            async def lost() -> bool:
+                return not any(it["sure"] for it in (await rig.status()).values())
+            before = rig.discovery.calls
+            await rig.until(lost, 10, "loss of the majority")
+
+            async def asked() -> bool:
+                return rig.discovery.calls >= before + 2  # the two followers
+            await rig.until(asked, 10, "watches of their own")
+            rig.discovery.tell("s-0", "draining")
+            await asyncio.sleep(1)
+            mark = len([it for it in rig.events() if it.kind == "sent"])
+            await asyncio.sleep(2)
+            assert {it.ident for it in rig.events() if it.kind == "sent"} == {"s-0", "s-1"}
+            assert {it.ident for it in [it for it in rig.events() if it.kind == "sent"][mark:]} == {"s-1"}
+            rig.fabric.rules.heal()
+            await rig.until_sure(20)
+        finally:
+            await rig.close()
+    asyncio.run(run())
+
+
 def test_a_voter_that_lost_its_folder_votes_again_by_command(tmp_path: Path) -> None:
     async def run() -> None:
         rig = Rig(tmp_path, 7, 3)
