Faults in pictures last as long as they did; tests of meshes tell their stories alone

Need: a picture of a history drew each fault for 0.4 s; nine tests of meshes had the same frame round their story, and two readings of the settings the same lines. Change: the end of a fault is in the history; one frame for the tests; one reading of settings.

--- a/puffinpost/config/node.py
+++ b/puffinpost/config/node.py
@@ -122,13 +122,7 @@
             raise ConfigError(f"{key}: {problem}") from None
 
     raw = _of(told, "settings", dict, None)
-    try:
-        settings = parse_settings("\n".join(flatten(raw)))
-    except ValueError as problem:
-        raise ConfigError(str(problem)) from None
-    classes = tuple(str(item.get("Name", "")) for item in raw.get("Classes", []))
-    if len(set(classes)) < len(classes):
-        raise ConfigError(f"settings.Classes: two have one Name: {', '.join(classes)}")
+    settings, classes = _settings(raw)
     try:
         seed = int(str(told.get("seed", "0")), 16)
     except ValueError:
@@ -146,7 +140,7 @@
         listen=address("GW_LISTEN", "listen"),
         discovery=address("GW_DISCOVERY", "discovery"),
         seed=seed,
-        settings=settings if settings.list_on_request else _from_agent(settings),
+        settings=settings,
         classes=classes,
         zones=tuple(str(item) for item in raw.get("Dcs", [])),
         kinds=tuple(str(item) for item in raw.get("Kinds", [])),
@@ -170,6 +164,18 @@
     )
 
 
+def _settings(raw: dict[str, Any]) -> tuple[api.Settings, tuple[str, ...]]:
+    """Settings as the platform has them, and the names of their classes. Raises ``ConfigError``."""
+    try:
+        read = parse_settings("\n".join(flatten(raw)))
+    except ValueError as problem:
+        raise ConfigError(str(problem)) from None
+    names = tuple(str(item.get("Name", "")) for item in raw.get("Classes", []))
+    if len(set(names)) < len(names):
+        raise ConfigError(f"settings.Classes: two have one Name: {', '.join(names)}")
+    return read if read.list_on_request else _from_agent(read), names
+
+
 def _named(edge: EdgeConfig, name: str) -> ClusterConfig | None:
     if edge.cluster is None:
         return None
@@ -190,16 +196,9 @@
     if own:
         raise ConfigError(f"settings.{own[0]}: is each node's own, and not agreed on")
     raw = {**now.raw.get("settings", {}), **shared}
-    try:
-        read = parse_settings("\n".join(flatten(raw)))
-    except ValueError as problem:
-        raise ConfigError(str(problem)) from None
-    names = tuple(str(item.get("Name", "")) for item in raw.get("Classes", []))
-    if len(set(names)) < len(names):
-        raise ConfigError(f"settings.Classes: two have one Name: {', '.join(names)}")
+    read, names = _settings(raw)
     told = dict(zip(names, read.classes, strict=True))
     merged = {**dict(zip(now.classes, now.settings.classes, strict=True)), **told}
-    read = read if read.list_on_request else _from_agent(read)
     return replace(now, settings=replace(read, classes=tuple(merged.values())), classes=tuple(merged),
                    closed=frozenset(merged.keys() - told.keys()))
 
--- a/puffinpost/emulator/mesh/play.py
+++ b/puffinpost/emulator/mesh/play.py
@@ -106,31 +106,35 @@
         match step.do:
             case "kill":
                 node.kill()
-                self._later(step.for_s, self._start(name))
+                self._later(step.for_s, self._start(name), name, step.do)
             case "stop":
                 node.stop()
-                self._later(step.for_s, self._go_on(name))
+                self._later(step.for_s, self._go_on(name), name, step.do)
             case "end":
                 await node.end()
-                self._later(step.for_s, self._start(name))
+                self._later(step.for_s, self._start(name), name, step.do)
             case "start" | "start fresh":
                 node.kill(folder=step.do == "start")
                 node.start()
             case "cut" | "cut one way":
                 before = set(rules.silent)
                 self.rig.fabric.cut([name], others, step.do == "cut one way")
-                self._later(step.for_s, self._sound(set(rules.silent) - before))
+                self._later(step.for_s, self._sound(set(rules.silent) - before), name, step.do)
             case "slow":
                 for other in others:
                     self.rig.fabric.slow(name, other, step.delay_s, step.delay_s / 4)
-                self._later(step.for_s, self._quick(name, others))
+                self._later(step.for_s, self._quick(name, others), name, step.do)
             case "drop":
                 for other in others:
                     self.rig.fabric.drop(name, other)
 
-    def _later(self, after_s: float, what: Awaitable[None]) -> None:
-        """After a while; 0 for what is a fault means at the end, when all is healed."""
-        task = asyncio.ensure_future(self._at(time.monotonic() + after_s, what))
+    def _later(self, after_s: float, what: Awaitable[None], name: str = "", fault: str = "") -> None:
+        """After a while. The end of a fault is noted, for pictures."""
+        async def run() -> None:
+            await self._at(time.monotonic() + after_s, what)
+            if fault:
+                self.rig.notes.note(name, "mended", fault)
+        task = asyncio.ensure_future(run())
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
--- a/puffinpost/emulator/mesh/plot.py
+++ b/puffinpost/emulator/mesh/plot.py
@@ -9,7 +9,7 @@
 
 from puffinpost.emulator.mesh.checker import Event
 
-BAND_S = 0.4  # how wide a fault is drawn: a history tells when it began
+BAND_S = 0.4  # how wide a fault is drawn whose end was not noted
 COLOURS = ("#1b6ca8", "#e07a1f", "#3a9d5d", "#b23a48", "#7d5ba6", "#8c6d46", "#d16ba5", "#5f6b73")
 
 
@@ -28,7 +28,10 @@
                       label=f"version {number}" if len(numbers) <= 12 else None)
     for fault in (it for it in events if it.kind == "fault" and it.node in nodes):
         row, when = nodes.index(fault.node), (fault.t - began) / 1e9
-        upper.barh(row, BAND_S, left=when, height=0.9, color="#d33", alpha=0.25)
+        ends = [it.t for it in events if it.kind == "mended" and it.t > fault.t
+                and (it.node, it.ident) == (fault.node, fault.ident)]
+        lasts = (min(ends) - fault.t) / 1e9 if ends else BAND_S
+        upper.barh(row, max(lasts, BAND_S / 4), left=when, height=0.9, color="#d33", alpha=0.25)
         upper.annotate(fault.ident, (when, row), fontsize=6, color="#a11", va="bottom")
     upper.set_yticks(range(len(nodes)), nodes, fontsize=7 if len(nodes) < 60 else 3)
     upper.set_title(f"Versions of {doc} acted on, by node", loc="left", fontsize=10)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
@@ -34,6 +35,17 @@
     return found
 
 
+def on_mesh(story: Callable[[Rig], Awaitable[None]], rig: Rig, **start: Any) -> None:
+    """Starts a mesh, lets a story happen on it, and ends it."""
+    async def run() -> None:
+        try:
+            await rig.start(**start)
+            await story(rig)
+        finally:
+            await rig.close()
+    asyncio.run(run())
+
+
 SCENARIOS = {
     "the leader is killed during a proposal": steps(
         (0, "propose", "n0", 0), (2, "propose", "n4", 0), (2.2, "kill", "leader", 1.5)),
@@ -69,208 +81,168 @@
 
 
 def test_who_has_lost_the_majority_refuses_what_is_new_and_keeps_what_stands(tmp_path: Path) -> None:
-    async def run() -> None:
-        rig = Rig(tmp_path, 7, 3)
-        try:
-            await rig.start(per_s=5)
-            assert (await rig.propose())["outcome"] == "accepted"
-            node = rig.nodes["n6"]
-            reader, writer = await asyncio.open_connection(*node.front)
-            writer.write(b"OPEN 00000000000000aa 7f3a9c21e0b4d655 c=live-text,d=2000\r\n")
-            assert (await reader.readline()).startswith(b"UP")
-            rig.fault("n0", "cut")
-            rig.fabric.cut(["n0"], rig.names)
-            rig.fabric.cut(["n1"], rig.names)
-
-            async def lost() -> bool:
-                return not any(it["sure"] for it in (await rig.status()).values())
-            await rig.until(lost, 10, "loss of the majority")
-            other = await asyncio.open_connection(*node.front)
-            other[1].write(b"OPEN 00000000000000ab 7f3a9c21e0b4d655 c=live-text,d=2000\r\n")
-            answer = (await asyncio.wait_for(other[0].readline(), 1)).split()
-            assert answer[0] == b"BUSY" and 0 < int(answer[1]) <= 2000  # at once, with a time to come back
-            writer.write(b"still here\r\n")
-            assert await asyncio.wait_for(reader.readline(), 2) == b"echo still here\r\n"
-            await asyncio.sleep(8)
-            rig.fabric.rules.heal()
-            await rig.until_sure(20)
-            writer.write(b"and on\r\n")
-            assert await asyncio.wait_for(reader.readline(), 2) == b"echo and on\r\n"
-            assert (await rig.propose("n6"))["outcome"] == "accepted"
-            assert await rig.checked() == []
-            writer.close()
-            other[1].close()
-        finally:
-            await rig.close()
-    asyncio.run(run())
+    async def story(rig: Rig) -> None:
+        assert (await rig.propose())["outcome"] == "accepted"
+        node = rig.nodes["n6"]
+        reader, writer = await asyncio.open_connection(*node.front)
+        writer.write(b"OPEN 00000000000000aa 7f3a9c21e0b4d655 c=live-text,d=2000\r\n")
+        assert (await reader.readline()).startswith(b"UP")
+        rig.fault("n0", "cut")
+        rig.fabric.cut(["n0"], rig.names)
+        rig.fabric.cut(["n1"], rig.names)
+
+        async def lost() -> bool:
+            return not any(it["sure"] for it in (await rig.status()).values())
+        await rig.until(lost, 10, "loss of the majority")
+        other = await asyncio.open_connection(*node.front)
+        other[1].write(b"OPEN 00000000000000ab 7f3a9c21e0b4d655 c=live-text,d=2000\r\n")
+        answer = (await asyncio.wait_for(other[0].readline(), 1)).split()
+        assert answer[0] == b"BUSY" and 0 < int(answer[1]) <= 2000  # at once, with a time to come back
+        writer.write(b"still here\r\n")
+        assert await asyncio.wait_for(reader.readline(), 2) == b"echo still here\r\n"
+        await asyncio.sleep(8)
+        rig.fabric.rules.heal()
+        await rig.until_sure(20)
+        writer.write(b"and on\r\n")
+        assert await asyncio.wait_for(reader.readline(), 2) == b"echo and on\r\n"
+        assert (await rig.propose("n6"))["outcome"] == "accepted"
+        assert await rig.checked() == []
+        writer.close()
+        other[1].close()
+    on_mesh(story, Rig(tmp_path, 7, 3), per_s=5)
 
 
 def test_all_are_killed_at_once_and_what_was_accepted_is_there_again(tmp_path: Path) -> None:
-    async def run() -> None:
-        rig = Rig(tmp_path, 7, 5)
-        try:
-            await rig.start(per_s=5)
-            assert (await rig.propose())["outcome"] == "accepted"
-            assert (await rig.propose("n6"))["outcome"] == "accepted"
-            await rig.until_sure(10)
-            before = (await rig.status())["n3"]["documents"]
-            for node in rig.nodes.values():
-                rig.fault(node.name, "kill")
-                node.kill()
-            for node in rig.nodes.values():
-                node.start()
-            await rig.until_sure(20)
-            after = (await rig.status())["n3"]["documents"]
-            assert after == before and after["settings"]["version"] > 3
-            assert await rig.checked() == []
-        finally:
-            await rig.close()
-    asyncio.run(run())
+    async def story(rig: Rig) -> None:
+        assert (await rig.propose())["outcome"] == "accepted"
+        assert (await rig.propose("n6"))["outcome"] == "accepted"
+        await rig.until_sure(10)
+        before = (await rig.status())["n3"]["documents"]
+        for node in rig.nodes.values():
+            rig.fault(node.name, "kill")
+            node.kill()
+        for node in rig.nodes.values():
+            node.start()
+        await rig.until_sure(20)
+        after = (await rig.status())["n3"]["documents"]
+        assert after == before and after["settings"]["version"] > 3
+        assert await rig.checked() == []
+    on_mesh(story, Rig(tmp_path, 7, 5), per_s=5)
 
 
 def test_a_node_returns_after_fifty_versions(tmp_path: Path) -> None:
-    async def run() -> None:
-        rig = Rig(tmp_path, 7, 3, within_s=1.0)
-        try:
-            await rig.start(per_s=2)
+    async def story(rig: Rig) -> None:
+        assert (await rig.propose())["outcome"] == "accepted"
+        for name in ("n2", "n6"):  # a voter, whose log is long behind, and a follower
+            rig.fault(name, "kill")
+            rig.nodes[name].kill()
+        for _ in range(50):
             assert (await rig.propose())["outcome"] == "accepted"
-            for name in ("n2", "n6"):  # a voter, whose log is long behind, and a follower
-                rig.fault(name, "kill")
-                rig.nodes[name].kill()
-            for _ in range(50):
-                assert (await rig.propose())["outcome"] == "accepted"
-            for name in ("n2", "n6"):
-                rig.nodes[name].start()
-            await rig.until_sure(20)
-            found = {it["documents"]["settings"]["version"] for it in (await rig.status()).values()}
-            assert len(found) == 1 and found.pop() > 100
-            assert await rig.checked() == []
-        finally:
-            await rig.close()
-    asyncio.run(run())
+        for name in ("n2", "n6"):
+            rig.nodes[name].start()
+        await rig.until_sure(20)
+        found = {it["documents"]["settings"]["version"] for it in (await rig.status()).values()}
+        assert len(found) == 1 and found.pop() > 100
+        assert await rig.checked() == []
+    on_mesh(story, Rig(tmp_path, 7, 3, within_s=1.0), per_s=2)
 
 
 def test_a_version_that_a_node_cannot_act_on_is_acted_on_by_nobody(tmp_path: Path) -> None:
-    async def run() -> None:
-        rig = Rig(tmp_path, 7, 3)
-        try:
-            await rig.start(per_s=5)
-            await rig.propose()
-            for content, key in (({"Limits": {**SETTINGS["Limits"], "AttemptsCap": 0}}, "max_attempts"),
-                                 ({"Rules": {"ColdFrom": 0.3}}, "Rules.DrainGraceNs"),
-                                 ({"Me": 1}, "settings.Me"), ([], "settings")):
-                found = await rig.propose("n5", content)
-                assert found["outcome"] == "rejected" and key in found["problem"], found
-            assert (await rig.propose("n5"))["outcome"] == "accepted"
-            assert await rig.checked() == []
-        finally:
-            await rig.close()
-    asyncio.run(run())
+    async def story(rig: Rig) -> None:
+        await rig.propose()
+        for content, key in (({"Limits": {**SETTINGS["Limits"], "AttemptsCap": 0}}, "max_attempts"),
+                             ({"Rules": {"ColdFrom": 0.3}}, "Rules.DrainGraceNs"),
+                             ({"Me": 1}, "settings.Me"), ([], "settings")):
+            found = await rig.propose("n5", content)
+            assert found["outcome"] == "rejected" and key in found["problem"], found
+        assert (await rig.propose("n5"))["outcome"] == "accepted"
+        assert await rig.checked() == []
+    on_mesh(story, Rig(tmp_path, 7, 3), per_s=5)
 
 
 def test_a_list_that_changes_while_discovery_is_gone_holds_at_all_once_it_is_back(tmp_path: Path) -> None:
-    async def run() -> None:
-        rig = Rig(tmp_path, 7, 3)
-        try:
-            await rig.start(per_s=10, transcribers=3)
-            calls = rig.discovery.calls
-            rig.discovery.down = True
-            rig.fault("", "discovery is down")
-            rig.discovery.tell("s-0", "draining")
-            await asyncio.sleep(10)
-            rig.discovery.down = False
-            await rig.told("s-0", "draining")
-            leader = await rig.leader()
-            rig.fault(leader, "kill")
-            rig.nodes[leader].kill()
-            await rig.told("s-1", "draining")  # another voter has read it
-            rig.nodes[leader].start()
-            await asyncio.sleep(4)
-            await rig.told("s-0", "up")
-            await rig.until_sure(10)
-            assert await rig.checked() == []
-            assert {it.ident for it in rig.events() if it.kind == "sent"} == {"s-0", "s-1", "s-2"}
-            assert rig.discovery.calls - calls < 60  # the voters' alone
-        finally:
-            await rig.close()
-    asyncio.run(run())
+    async def story(rig: Rig) -> None:
+        calls = rig.discovery.calls
+        rig.discovery.down = True
+        rig.fault("", "discovery is down")
+        rig.discovery.tell("s-0", "draining")
+        await asyncio.sleep(10)
+        rig.discovery.down = False
+        await rig.told("s-0", "draining")
+        leader = await rig.leader()
+        rig.fault(leader, "kill")
+        rig.nodes[leader].kill()
+        await rig.told("s-1", "draining")  # another voter has read it
+        rig.nodes[leader].start()
+        await asyncio.sleep(4)
+        await rig.told("s-0", "up")
+        await rig.until_sure(10)
+        assert await rig.checked() == []
+        assert {it.ident for it in rig.events() if it.kind == "sent"} == {"s-0", "s-1", "s-2"}
+        assert rig.discovery.calls - calls < 60  # the voters' alone
+    on_mesh(story, Rig(tmp_path, 7, 3), per_s=10, transcribers=3)
 
 
 def test_a_ban_at_one_node_holds_at_all_and_so_does_its_end(tmp_path: Path) -> None:
-    async def run() -> None:
-        rig = Rig(tmp_path, 5, 3)
-        try:
-            await rig.start(per_s=10, transcribers=2)
-            changes: list[dict[str, Any]] = [{"ban": {"s-0": 5}}, {"lift": ["s-0"], "ban": {"s-1": 7}}]
-            for change, only in zip(changes, ("s-1", "s-0"), strict=True):
-                assert (await rig.propose("n4", change, doc="bans"))["outcome"] == "accepted"
-
-                async def alone(server: str = only) -> bool:
-                    return [it.ident for it in rig.events() if it.kind == "sent"][-10:] == [server] * 10
-                await rig.until(alone, 20, "placements on the other alone")
-            assert (await rig.propose("n4", {"ban": {"s-0": "now"}}, doc="bans"))["outcome"] == "rejected"
-            assert await rig.checked() == []
-        finally:
-            await rig.close()
-    asyncio.run(run())
+    async def story(rig: Rig) -> None:
+        changes: list[dict[str, Any]] = [{"ban": {"s-0": 5}}, {"lift": ["s-0"], "ban": {"s-1": 7}}]
+        for change, only in zip(changes, ("s-1", "s-0"), strict=True):
+            assert (await rig.propose("n4", change, doc="bans"))["outcome"] == "accepted"
+
+            async def alone(server: str = only) -> bool:
+                return [it.ident for it in rig.events() if it.kind == "sent"][-10:] == [server] * 10
+            await rig.until(alone, 20, "placements on the other alone")
+        assert (await rig.propose("n4", {"ban": {"s-0": "now"}}, doc="bans"))["outcome"] == "rejected"
+        assert await rig.checked() == []
+    on_mesh(story, Rig(tmp_path, 5, 3), per_s=10, transcribers=2)
 
 
 def test_without_the_majority_each_node_reads_the_list_itself(tmp_path: Path) -> None:
-    async def run() -> None:
-        rig = Rig(tmp_path, 5, 3, extra='on_lost = "keep"')
-        try:
-            await rig.start(per_s=10, transcribers=2)
-            await rig.propose()
-            rig.fault("n0", "cut")
-            rig.fabric.cut(["n0", "n1"], rig.names)
-
-            async def lost() -> bool:
-                return not any(it["sure"] for it in (await rig.status()).values())
-            before = rig.discovery.calls
-            await rig.until(lost, 10, "loss of the majority")
-
-            async def asked() -> bool:
-                return rig.discovery.calls >= before + 2  # the two followers
-            await rig.until(asked, 10, "watches of their own")
-            rig.discovery.tell("s-0", "draining")
-            await asyncio.sleep(1)
-            mark = len([it for it in rig.events() if it.kind == "sent"])
-            await asyncio.sleep(2)
-            assert {it.ident for it in rig.events() if it.kind == "sent"} == {"s-0", "s-1"}
-            assert {it.ident for it in [it for it in rig.events() if it.kind == "sent"][mark:]} == {"s-1"}
-            rig.fabric.rules.heal()
-            await rig.until_sure(20)
-        finally:
-            await rig.close()
-    asyncio.run(run())
+    async def story(rig: Rig) -> None:
+        await rig.propose()
+        rig.fault("n0", "cut")
+        rig.fabric.cut(["n0", "n1"], rig.names)
+
+        async def lost() -> bool:
+            return not any(it["sure"] for it in (await rig.status()).values())
+        before = rig.discovery.calls
+        await rig.until(lost, 10, "loss of the majority")
+
+        async def asked() -> bool:
+            return rig.discovery.calls >= before + 2  # the two followers
+        await rig.until(asked, 10, "watches of their own")
+        rig.discovery.tell("s-0", "draining")
+        await asyncio.sleep(1)
+        mark = len([it for it in rig.events() if it.kind == "sent"])
+        await asyncio.sleep(2)
+        assert {it.ident for it in rig.events() if it.kind == "sent"} == {"s-0", "s-1"}
+        assert {it.ident for it in [it for it in rig.events() if it.kind == "sent"][mark:]} == {"s-1"}
+        rig.fabric.rules.heal()
+        await rig.until_sure(20)
+    on_mesh(story, Rig(tmp_path, 5, 3, extra='on_lost = "keep"'), per_s=10, transcribers=2)
 
 
 def test_a_voter_that_lost_its_folder_votes_again_by_command(tmp_path: Path) -> None:
-    async def run() -> None:
-        rig = Rig(tmp_path, 7, 3)
-        try:
-            await rig.start(per_s=2)
-            await rig.propose()
-            leader = await rig.leader()
-            lost = next(name for name in rig.voters if name != leader)
-            rig.fault(lost, "lost folder")
-            rig.nodes[lost].kill(folder=False)
-            rig.nodes[lost].start()
-
-            async def fresh() -> Any:
-                told = (await rig.status()).get(lost, {})
-                return told.get("sure") and not told["votes"] and told["identity"]
-            identity = await rig.until(fresh, 20, "follower in its place")
-            await rig.propose("n5", {lost: identity}, doc="@voters", within_s=0.2)
-
-            async def votes() -> bool:
-                return bool((await rig.status()).get(lost, {}).get("votes"))
-            await rig.until(votes, 20, "vote of the new one")
-            assert (await rig.propose("n6"))["outcome"] == "accepted"
-            assert await rig.checked() == []
-        finally:
-            await rig.close()
-    asyncio.run(run())
+    async def story(rig: Rig) -> None:
+        await rig.propose()
+        leader = await rig.leader()
+        lost = next(name for name in rig.voters if name != leader)
+        rig.fault(lost, "lost folder")
+        rig.nodes[lost].kill(folder=False)
+        rig.nodes[lost].start()
+
+        async def fresh() -> Any:
+            told = (await rig.status()).get(lost, {})
+            return told.get("sure") and not told["votes"] and told["identity"]
+        identity = await rig.until(fresh, 20, "follower in its place")
+        await rig.propose("n5", {lost: identity}, doc="@voters", within_s=0.2)
+
+        async def votes() -> bool:
+            return bool((await rig.status()).get(lost, {}).get("votes"))
+        await rig.until(votes, 20, "vote of the new one")
+        assert (await rig.propose("n6"))["outcome"] == "accepted"
+        assert await rig.checked() == []
+    on_mesh(story, Rig(tmp_path, 7, 3), per_s=2)
 
 
 def test_a_planted_fault_is_found_and_the_history_shows_it(tmp_path: Path) -> None:
@@ -283,30 +255,25 @@
 
 
 def test_a_link_that_is_no_members_ends_alone_and_is_counted(tmp_path: Path) -> None:
-    async def run() -> None:
-        rig = Rig(tmp_path, 3, 3)
-        try:
-            await rig.start(per_s=0)
-            hello = Hello(CLUSTER, 1, "n1", "x")
-            bad: dict[str, bytes] = {
-                "foreign": encode(Hello("other", 1, "n1", "x")),
-                "not_member": encode(Hello(CLUSTER, 1, "nx", "x")),
-                "other_protocol": encode(Hello(CLUSTER, 2, "n1", "x")),
-                "oversized": encode(hello) + HEAD.pack(2**30, 0),
-                "garbled": encode(hello) + HEAD.pack(2, 0) + b"xx",
-                "operator without its token": encode(Hello(CLUSTER, 1, OPERATOR, "guess")),
-            }
-            for kind, data in bad.items():
-                reader, writer = await asyncio.open_connection(*rig.inside["n0"])
-                writer.write(data)
-                said = Frames().feed(await asyncio.wait_for(reader.read(), 5))
-                assert [type(it) for it in said] in ([], [Hello]), kind  # it ends, and nothing is done for it
-                writer.close()
-            assert all(it["sure"] for it in (await rig.status()).values())
-            assert (await rig.propose("n0"))["outcome"] == "accepted"
-        finally:
-            await rig.close()
-    asyncio.run(run())
+    async def story(rig: Rig) -> None:
+        hello = Hello(CLUSTER, 1, "n1", "x")
+        bad: dict[str, bytes] = {
+            "foreign": encode(Hello("other", 1, "n1", "x")),
+            "not_member": encode(Hello(CLUSTER, 1, "nx", "x")),
+            "other_protocol": encode(Hello(CLUSTER, 2, "n1", "x")),
+            "oversized": encode(hello) + HEAD.pack(2**30, 0),
+            "garbled": encode(hello) + HEAD.pack(2, 0) + b"xx",
+            "operator without its token": encode(Hello(CLUSTER, 1, OPERATOR, "guess")),
+        }
+        for kind, data in bad.items():
+            reader, writer = await asyncio.open_connection(*rig.inside["n0"])
+            writer.write(data)
+            said = Frames().feed(await asyncio.wait_for(reader.read(), 5))
+            assert [type(it) for it in said] in ([], [Hello]), kind  # it ends, and nothing is done for it
+            writer.close()
+        assert all(it["sure"] for it in (await rig.status()).values())
+        assert (await rig.propose("n0"))["outcome"] == "accepted"
+    on_mesh(story, Rig(tmp_path, 3, 3), per_s=0)
 
 
 def test_frames_come_whole_whatever_the_pieces() -> None:
