--- a/puffinpost/emulator/mesh/history.py
+++ b/puffinpost/emulator/mesh/history.py
@@ -23,6 +23,26 @@
     return sorted(found, key=lambda it: it.t)
 
 
+class Tail:
+    """What is new in these files since the last look; a line that is not whole yet waits for the next."""
+
+    def __init__(self, paths: list[Path]) -> None:
+        self.at = dict.fromkeys(paths, 0)
+
+    def new(self) -> list[Event]:
+        """Events that have come."""
+        found = []
+        for path, at in self.at.items():
+            if not path.exists():
+                continue
+            with path.open("rb") as file:
+                file.seek(at)
+                whole = file.read().rpartition(b"\n")[0]
+            self.at[path] = at + len(whole) + bool(whole)
+            found += [msgspec.json.decode(line, type=Event) for line in whole.split(b"\n") if line]
+        return found
+
+
 def write(path: Path, events: list[Event]) -> None:
     """One file with all of them."""
     path.write_bytes(b"".join(msgspec.json.encode(it) + b"\n" for it in events))
--- a/puffinpost/wiring/agreed.py
+++ b/puffinpost/wiring/agreed.py
@@ -108,6 +108,7 @@
             self.ban({str(name): int(since) for name, since in version.content.items()})
         elif doc == LIST:
             self._list()
+        self.history.note("begins", doc=doc, number=version.number, hash=version.hash, ident=version.ident)
         log.say(f"cluster: acts on {doc} {version.number} ({version.hash[:8]}), by {version.by or 'nobody'}")
 
     def ban(self, names: dict[str, int]) -> None:
