A follower that came back with its folder crashed, and the rig did not see it

Found on reading the change again: documents from the disk were learned while the node was still being put together, and a list among them called for what was not there yet: AttributeError at the start, exit 1. The tests did not see it, as the rig left every process that had ended out of its looks, whoever had ended it. Change: what was on disk is recalled once the node is whole. A process that nobody has ended and that does not run is a breach, in checked(), in scenarios and while a test waits; the end of its log is told. Unused fields are gone.

--- a/puffinpost/cluster/node.py
+++ b/puffinpost/cluster/node.py
@@ -23,7 +23,6 @@
 from puffinpost.cluster.store import Store, Write
 from puffinpost.config.cluster import ClusterConfig
 
-MS = 1_000_000
 LEAST_S = 0.002  # between two looks at the time
 
 
@@ -41,8 +40,7 @@
         identity = self.store.identity if self.store is not None else "follower"
         self.member = Member(told.plan, identity, kept, chance, self.clock(), check)
         self.member.acting.on_change.append(change)
-        for document in views:
-            self.member.acting.learn(document)
+        self.views = views
         self.links = Links(Place(
             told.plan.cluster, told.members, self.member.hello, self._received, self._asked, count,
             self.store.token if self.store is not None else "",
@@ -56,6 +54,12 @@
         """Ns that go on while the machine or this process sleeps."""
         return int(time.clock_gettime_ns(time.CLOCK_BOOTTIME) * self.told.clock_rate)
 
+    def recall(self) -> None:
+        """What was acted on before the start is there again; called once the rest of the node is."""
+        for document in self.views:
+            self.member.acting.learn(document)
+        self.views = []
+
     def start(self) -> None:
         """Listens, introduces itself to the voters and begins to follow."""
         host, port = self.told.listen
--- a/puffinpost/emulator/mesh/play.py
+++ b/puffinpost/emulator/mesh/play.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from puffinpost.emulator.mesh.checker import Breach, Event, check, worst_contradiction
+from puffinpost.emulator.mesh.checker import Breach, Event, worst_contradiction
 from puffinpost.emulator.mesh.rig import Rig
 from puffinpost.emulator.mesh.scenario import Scenario, Step
 
@@ -41,7 +41,6 @@
         self.rig = Rig(folder, told.nodes, told.voters, seed, told.agree_within_s, extra, own)
         self.outcomes: list[dict[str, str]] = []
         self.tasks: set[asyncio.Task[None]] = set()
-        self.faults = 0  # that hold now
 
     async def run(self) -> Played:
         """Starts, plays, heals, waits until all agree, and checks."""
@@ -61,13 +60,12 @@
             settled_ns = time.monotonic_ns()
             await asyncio.sleep(0.5)
             answers: dict[str, int] = {}
+            breaches = await rig.checked(settled_ns)
             if rig.clients is not None:
-                await rig.clients.close()
                 for (_, word), count in rig.clients.answers.items():
                     answers[word] = answers.get(word, 0) + count
             events = rig.events()
-            within = int(told.agree_within_s * NS)
-            return Played(events, check(events, within, settled_ns), self.outcomes,
+            return Played(events, breaches, self.outcomes,
                           worst_contradiction(events).ns / NS, settled - healed, answers)
         finally:
             await rig.close()
@@ -77,7 +75,7 @@
         self.rig.fabric.rules.heal()
         for node in self.rig.nodes.values():
             node.go_on()
-            if node.child is None or node.child.poll() is not None:
+            if node.child is None:
                 node.start()
 
     # --- steps ------------------------------------------------------------------------------------------
@@ -139,9 +137,8 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _start(self, name: str) -> None:
-        node = self.rig.nodes[name]
-        if node.child is None or node.child.poll() is not None:
-            node.start()
+        if self.rig.nodes[name].child is None:
+            self.rig.nodes[name].start()
 
     async def _go_on(self, name: str) -> None:
         self.rig.nodes[name].go_on()
--- a/puffinpost/emulator/mesh/process.py
+++ b/puffinpost/emulator/mesh/process.py
@@ -48,6 +48,11 @@
             self.child = subprocess.Popen(command, env={**kept, **told}, stderr=log)
         self.stopped = False
 
+    @property
+    def fell(self) -> bool:
+        """Whether its process has ended and nobody here has ended it."""
+        return self.child is not None and self.child.poll() is not None
+
     @property
     def running(self) -> bool:
         """Whether there is a process that is not stopped."""
@@ -58,6 +63,10 @@
         if self.child is not None and self.child.poll() is None:
             self.child.send_signal(number)
 
+    def last_words(self) -> str:
+        """The end of its log."""
+        return (self.folder / "log").read_text()[-400:]
+
     def kill(self, folder: bool = True) -> None:
         """kill -9, and waits for its end; without ``folder`` what it had on disk is lost too."""
         if self.child is not None:
--- a/puffinpost/emulator/mesh/rig.py
+++ b/puffinpost/emulator/mesh/rig.py
@@ -91,9 +91,8 @@
         known = {name, *self.voters, *plan.sources()}
         members = []
         for other in self.names:
-            # The place of a name in the row says whom it follows, so all are named; those that it never
-            # speaks
-            # with are at an address where nobody is.
+            # The place of a name in the row says whom it follows, so all are named. Those that it never
+            # speaks with need no link.
             spoken = other in known and other != name
             host, at = self.fabric.address(name, other) if spoken else self.inside[other]
             members.append(f'{other} = "{host}:{at}"')
@@ -131,6 +130,8 @@
         """Waits until a call's answer is true; the answer."""
         end = time.monotonic() + within_s
         while time.monotonic() < end:
+            if fallen := [name for name, node in self.nodes.items() if node.fell]:
+                raise RuntimeError(f"{fallen} ended by themselves: {self.nodes[fallen[0]].last_words()}")
             if answer := await call():
                 return answer
             # Guards the links, which this process carries: a look at all of a large mesh takes its time.
@@ -138,11 +139,11 @@
         told = {name: (it["role"], it["sure"], it["documents"]) for name, it in (await self.status()).items()}
         raise TimeoutError(f"no {what} in {within_s:g} s: {str(told)[:2000]}")
 
-    async def until_sure(self, within_s: float, but: frozenset[str] = frozenset()) -> None:
+    async def until_sure(self, within_s: float) -> None:
         """Waits until all that run hold a lease, and act on one version."""
         async def sure() -> bool:
-            running = {name for name, node in self.nodes.items() if node.running} - but
-            told = {name: it for name, it in (await self.status()).items() if name not in but}
+            running = {name for name, node in self.nodes.items() if node.running}
+            told = await self.status()
             versions = {repr(sorted((doc, it2["all_act_on"]) for doc, it2 in it["documents"].items()))
                         for it in told.values()}
             return set(told) == running and all(it["sure"] for it in told.values()) and len(versions) == 1
@@ -198,11 +199,16 @@
         return sorted([*self.notes.events, *read([node.history for node in self.nodes.values()])],
                       key=lambda it: it.t)
 
-    async def checked(self) -> list[Breach]:
-        """No new messages; those that are out have their answers, then all promises are checked."""
+    async def checked(self, settled_ns: int = 2**63) -> list[Breach]:
+        """No new messages; those that are out have their answers, then all promises are checked.
+
+        A node that nobody has ended has to run still: it is no part of the faults to fall.
+        """
         if self.clients is not None:
             await self.clients.close()
-        return check(self.events(), int(self.within_s * 1e9), 2**63)
+        fallen = [Breach(f"{name} ended by itself: {node.last_words()}", ())
+                  for name, node in self.nodes.items() if node.fell]
+        return fallen + check(self.events(), int(self.within_s * 1e9), settled_ns)
 
     async def close(self) -> None:
         """Ends all that was started here."""
--- a/puffinpost/wiring/agreed.py
+++ b/puffinpost/wiring/agreed.py
@@ -52,6 +52,7 @@
             raise config.ConfigError(f"cluster.folder: {problem}") from None
         self.answer: dict[str, Any] = {}  # discovery's last one here
         self.was_current = False
+        self.cluster.recall()
         node.core.gate = self
         node.core.on_end.append(self._ended)
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -160,6 +161,34 @@
     on_mesh(story, Rig(tmp_path, 7, 3), per_s=5)
 
 
+def test_followers_and_voters_come_back_with_what_they_had_on_disk(tmp_path: Path) -> None:
+    async def story(rig: Rig) -> None:
+        assert (await rig.propose())["outcome"] == "accepted"
+        assert (await rig.propose("n3", {"ban": {"s-0": 5}}, doc="bans"))["outcome"] == "accepted"
+        await rig.until_sure(10)
+        before = (await rig.status())["n3"]["documents"]
+        for name in ("n3", "n4", "n0"):
+            rig.fault(name, "kill")
+            rig.nodes[name].kill()
+            rig.nodes[name].start()
+            await rig.until_sure(20)
+        assert (await rig.status())["n4"]["documents"] == before
+        assert set(before) == {"settings", "bans", "list"}
+        assert await rig.checked() == []
+    on_mesh(story, Rig(tmp_path, 5, 3), per_s=5)
+
+
+def test_a_node_that_falls_is_no_part_of_the_faults(tmp_path: Path) -> None:
+    async def story(rig: Rig) -> None:
+        rig.nodes["n3"].signal(signal.SIGKILL)  # not by the rig, as a crash is not
+        assert rig.nodes["n3"].child is not None
+        await asyncio.to_thread(rig.nodes["n3"].child.wait)
+        assert ["n3 ended by itself" in it.promise for it in await rig.checked()] == [True]
+        with pytest.raises(RuntimeError, match="n3"):
+            await rig.until_sure(5)
+    on_mesh(story, Rig(tmp_path, 4, 3), per_s=0)
+
+
 def test_a_list_that_changes_while_discovery_is_gone_holds_at_all_once_it_is_back(tmp_path: Path) -> None:
     async def story(rig: Rig) -> None:
         calls = rig.discovery.calls
