What reading the change again found in agreement is mended, each with its test

Found by reading, each checked by a test that fails without its mend: - answers counted for a staged version were those of all nodes since their start: failures elsewhere withdrew it; - a leader that was voted out was taken for a stranger by the others, never learned that it was out, and led on until nobody had answered it for half a second; votes alone are refused to strangers now, and it steps down; - a write that ended after entries were cut counted for those that had taken their place; - promises of kept classes were lost with a compacted log and a restart; a new leader looks at past versions; - a voter had what it acted on as a log only, not as what was acted on; - a database file that is damaged is refused by SQLite's quick check. Added: tests of the store (kills, cut files, two processes, a missing entry), of SIGHUP and a console's ban as proposals, of one node alone that cannot act on a version, of each on_lost.

--- a/puffinpost/agreement/kept.py
+++ b/puffinpost/agreement/kept.py
@@ -11,6 +11,8 @@
 
 from typing import Any
 
+from puffinpost.agreement.documents import Document
+
 NS = 1_000_000_000
 
 
@@ -60,6 +62,12 @@
         for name in kept - kept_of(after)[0]:
             self.until[name] = max(self.until.get(name, 0), now + for_ns + self.within_ns)
 
+    def recalled(self, document: Document | None, now: int) -> None:
+        """This node leads from now on: what an earlier version kept may hold still, as far as it can know."""
+        if document is not None and document.active is not None:
+            for version in document.past:
+                self.followed(version.content, document.active.content, now)
+
     def broken(self, before: Any, after: Any, now: int) -> str:
         """Which promise a proposal would break; empty where none."""
         allowed, listed = classes_of(after), bool(classes_of(before))
--- a/puffinpost/agreement/member.py
+++ b/puffinpost/agreement/member.py
@@ -8,7 +8,6 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
@@ -18,11 +17,12 @@
 from puffinpost.agreement.deciding import Deciding
 from puffinpost.agreement.documents import Document, decoded
 from puffinpost.agreement.kept import Promises
+from puffinpost.agreement.log import Changes, Kept
 from puffinpost.agreement.messages import (
     Append, Appended, Hello, Install, Lease, Message, Propose, Renew, Summary, Vote, Voted,
 )
+from puffinpost.agreement.out import Out
 from puffinpost.agreement.plan import Plan
-from puffinpost.agreement.log import Changes, Kept
 from puffinpost.agreement.raft import Raft
 from puffinpost.agreement.serving import Serving
 from puffinpost.agreement.summary import Counts, added, own
@@ -36,17 +36,6 @@
 COMPACT = 256  # entries applied before they go into a snapshot
 
 
-@dataclass(slots=True)
-class Out:
-    """What is to be done now: write, then send, then tell `persisted`."""
-
-    changes: Changes
-    replies: list[tuple[Any, Message]]  # to whom, as the caller named it, and what
-    last: int  # the log's last entry, for `persisted`
-    learned: list[Document] = field(default_factory=list)
-    lease: tuple[int, int] = (0, 0)  # asked when, and for how long
-
-
 class Member:
     """A node. ``folder``: what it had on disk; without one it follows only."""
 
@@ -54,12 +43,12 @@
                  check: Callable[[str, Any], str]) -> None:
         self.plan, self.identity, self.chance = plan, identity, chance
         self.acting = Acting(plan.name, plan.on_lost, check)
+        self.now = now
         self.raft: Raft | None = None
+        self.documents = decoded(b"")
         if folder is not None:
             self.raft = Raft(plan.name, identity, folder, plan.beat_ns, chance, now)
-        self.now = now
-        self.documents = decoded(folder.log.snapshot.state if folder is not None else b"")
-        if folder is not None:
+            self.documents = decoded(folder.log.snapshot.state)
             self.documents.kept.applied = folder.log.snapshot.index
         self.counts = Counts()
         self.serving = Serving(plan)
@@ -91,8 +80,8 @@
         """What is to be written, sent and told."""
         changes = self.raft.take() if self.raft is not None else Changes()
         changes.messages += self._sent
-        last = self.raft.log.last if self.raft is not None else 0
-        out = Out(changes, self._replies, last, self._learned, self._lease)
+        last, cuts = (self.raft.log.last, self.raft.cuts) if self.raft is not None else (0, 0)
+        out = Out(changes, self._replies, last, cuts, self._learned, self._lease)
         self._sent, self._replies, self._learned, self._lease = [], [], [], (0, 0)
         return out
 
@@ -101,7 +90,7 @@
         self._pass_on([document for document in out.learned if self.acting.learn(document)])
         self.acting.lease.taken(*out.lease)
         if self.raft is not None:
-            self.raft.persisted(out.last)
+            self.raft.persisted(out.last, out.cuts)
             self._load()
             self._apply()
 
@@ -117,8 +106,9 @@
 
     def due(self) -> int:
         """When `tick` has something to do next, on this node's clock."""
-        votes = self.raft is not None and self.raft.votes_here()
-        return min(self.renew_at, self.raft.next_due()) if self.raft is not None and votes else self.renew_at
+        if self.raft is None or not (self.raft.role == "leader" or self.raft.votes_here()):
+            return self.renew_at
+        return min(self.renew_at, self.raft.next_due())
 
     def receive(self, sender: str, identity: str, said: Message, now: int, reply_to: Any = None) -> None:
         """A message came on a link whose other end introduced itself so."""
@@ -165,11 +155,13 @@
         if raft is None:
             return
         known = (raft.log.voters() | raft.learners).get(sender)
-        if known != identity and (raft.votes_here() or known is not None):
-            self.strangers += 1  # guards against a vote of one that has lost its folder
-            return
-        raft.receive(sender, said, now)
-        self._apply()
+        votes = isinstance(said, Vote | Voted) and raft.votes_here()
+        # Guards against a vote of one that has lost its folder. A leader that was voted out may end its work.
+        if known != identity and (known is not None or votes):
+            self.strangers += 1
+        else:
+            raft.receive(sender, said, now)
+            self._apply()
 
     def _load(self) -> None:
         """A snapshot that is on disk now takes the place of what the log had made."""
@@ -199,19 +191,18 @@
             raft.compact(kept.applied, self.documents.encoded())
 
     def _changed(self, before: Document | None, after: Document) -> None:
-        old = before.active.content if before is not None and before.active is not None else None
-        if after.name == "settings" and after.active is not None and old != after.active.content:
-            self.promises.followed(old, after.active.content, self.now)
+        if after.name == "settings" and after.active is not None and before is not None and before.active:
+            self.promises.followed(before.active.content, after.active.content, self.now)
         self.acting.learn(after)
+        self._learned.append(after)  # what is acted on is on disk as such, not as a log that may be committed
         self._pass_on([after])
 
     def _pass_on(self, news: list[Document]) -> None:
         """Those who follow this node hear of a change at once; that it is current they ask, as ever."""
-        if not news:
-            return
-        self.renew_at = min(self.renew_at, self.now + SOON_NS)  # whom it asks hears what it says of it
-        said = Lease(0, 0, tuple(msgspec.msgpack.encode(it) for it in news), self.leader)
-        self._replies += [(link, said) for link in self.serving.followers()]
+        if news:
+            self.renew_at = min(self.renew_at, self.now + SOON_NS)  # whom it asks hears what it says of it
+            said = Lease(0, 0, tuple(msgspec.msgpack.encode(it) for it in news), self.leader)
+            self._replies += [(link, said) for link in self.serving.followers()]
 
     def _lead(self, now: int) -> None:
         raft = self.raft
@@ -223,6 +214,7 @@
         self.acting.lease.until_ns = max(self.acting.lease.until_ns, raft.confirmed(now) + self.plan.span_ns)
         if self.deciding is None:
             self.deciding = Deciding(self.plan.patience, self.promises)
+            self.promises.recalled(self.documents.documents.get("settings"), now)
         if any(it.pending or it.staged for it in self.documents.documents.values()):
             for told in self.deciding.decide(self.documents, self.summary(now), now):
                 raft.propose(told, now)
@@ -241,17 +233,17 @@
         raft = self.raft
         if raft is not None and raft.role == "leader":
             return
-        if not self.answered:
-            self.source, self.empty = self.source + 1, 0  # guards against a source that is silent
-        elif self.source and self.chance.random() < HOME:
+        if not self.answered:  # guards against a source that is silent
+            self.source, self.empty = self.source + 1, 0
+        elif self.chance.random() < HOME:
             self.source = 0
         self.answered, self.asked = False, now
         sources = self.sources
         if raft is not None and raft.votes_here() and raft.leader:
             # The leader first; but the link to it may be silent one way, while what it says still comes.
             sources = tuple(dict.fromkeys([raft.leader, *sources]))
-        target = sources[self.source % len(sources)] if sources else ""
-        if target:
+        if sources:
+            target = sources[self.source % len(sources)]
             offers = tuple(self.offers.values())[:8]
             self._sent.append((target, Renew(now, self.acting.have(), self.summary(now), offers)))
 
@@ -263,8 +255,8 @@
             for told in said.offers:
                 self.offer(told)
         left = 0 if full else self.acting.lease.left_ns(now)
-        changed = tuple(msgspec.msgpack.encode(it) for it in self.acting.documents.values()
-                        if it.changed > said.have.get(it.name, 0)) if not full else ()
+        newer = [it for it in self.acting.documents.values() if it.changed > said.have.get(it.name, 0)]
+        changed = tuple(msgspec.msgpack.encode(it) for it in newer if not full)
         if "stale_read" in self.plan.faults:
             left = self.plan.span_ns
         if "lost_version" in self.plan.faults and said.have:
@@ -280,19 +272,19 @@
             return  # late, or of no use: the next one is asked
         self.empty = 0 if said.left_ns > 0 else self.empty + 1
         self.answered = self.empty < EMPTY
-        if said.left_ns <= 0:
-            return  # it has no lease itself, or not yet: at a start each waits for the one before it
+        if said.left_ns <= 0:  # it has no lease itself, or not yet: at a start each waits for the one before
+            return
         self.leader = said.leader or self.leader
         self.settled |= said.settled
+        self.settled = dict(list(self.settled.items())[-OFFERS:])
         self.offers = {ident: told for ident, told in self.offers.items() if ident not in said.settled}
-        while len(self.settled) > OFFERS:
-            del self.settled[next(iter(self.settled))]
         self._on_changed(said)
         self._lease = said.asked, said.left_ns
 
     def _on_changed(self, said: Lease) -> None:
         """Documents came: they are learned once they are on disk, and what became of proposals is known."""
-        for document in [msgspec.msgpack.decode(it, type=Document) for it in said.changed]:
+        for packed in said.changed:
+            document = msgspec.msgpack.decode(packed, type=Document)
             self._learned.append(document)
             for version, outcome in ((document.active, "accepted"), (document.staged, "staged")):
                 if version is not None:
--- a/puffinpost/agreement/raft.py
+++ b/puffinpost/agreement/raft.py
@@ -33,6 +33,7 @@
         self.leader = ""
         self.commit = self.log.snapshot.index
         self.stable = self.log.last  # entries on disk
+        self.cuts = 0  # how often entries were dropped for a leader's
         self.votes: set[str] = set()
         self.campaigned = now  # when the votes were asked for
         self.pre = False  # the votes asked for are for the next term
@@ -57,17 +58,19 @@
         """When `tick` has something to do next, on this node's clock."""
         return self.beat_at if self.role == "leader" else self.due
 
-    def persisted(self, upto: int) -> None:
-        """Entries up to this index are on disk."""
-        self.stable = max(self.stable, min(upto, self.log.last))
+    def persisted(self, upto: int, cuts: int) -> None:
+        """Entries up to this index are on disk, of the log as it was after so many cuts."""
+        if cuts == self.cuts:
+            self.stable = max(self.stable, min(upto, self.log.last))
         if self.role == "leader":
             self._advance()
 
     def tick(self, now: int) -> None:
         """Time has passed."""
         if self.role == "leader":
-            if now - self.confirmed(now) > 10 * self.beat_ns:
-                self._follow(self.kept.term, "", now)  # guards against two who both lead: no majority answers
+            unheard = now - self.confirmed(now) > 10 * self.beat_ns  # guards against two who both lead
+            if unheard or not (self.votes_here() or self.changing()):  # or it was voted out (thesis, 4.2.2)
+                self._follow(self.kept.term, "", now)
             elif now >= self.beat_at:
                 self._broadcast(now)
         elif now >= self.due and self.votes_here():
@@ -148,7 +151,9 @@
         self.votes, self.campaigned = {self.name}, now
         self._rest(now)
         asked = Vote(self.kept.term + pre, self.log.last, self._last_term(), pre)
-        self._tell_all(asked)
+        for name in self.log.voters():
+            if name != self.name:
+                self._tell(name, asked)
         self._count(now)
 
     def _last_term(self) -> int:
@@ -220,12 +225,18 @@
         entries = self.log.after(start - 1, BATCH)
         self._tell(name, Append(term, start - 1, before, entries, self.commit, now))
 
-    def _on_append(self, sender: str, said: Append, now: int) -> None:
+    def _led(self, sender: str, said: Append | Install, now: int) -> bool:
+        """Whether one who says that it leads does."""
         if said.term < self.kept.term:
             self._tell(sender, Appended(self.kept.term, False, 0, said.beat))
-            return
+            return False
         self._follow(said.term, sender, now)
         self.heard_ns = now
+        return True
+
+    def _on_append(self, sender: str, said: Append, now: int) -> None:
+        if not self._led(sender, said, now):
+            return
         here = self.log.term(said.prev_index)
         if here != said.prev_term and said.prev_index >= self.log.snapshot.index:
             hint = min(self.log.last, max(said.prev_index - 1, self.log.snapshot.index))
@@ -239,6 +250,7 @@
             known = self.log.term(index)
             if known is not None and known != entry.term:
                 self.log.cut(index)
+                self.cuts += 1
                 self.stable = min(self.stable, index - 1)
                 known = None
             if known is None:
@@ -247,14 +259,12 @@
         self._tell(sender, Appended(said.term, True, index, said.beat))
 
     def _on_install(self, sender: str, said: Install, now: int) -> None:
-        if said.term < self.kept.term:
-            self._tell(sender, Appended(self.kept.term, False, 0, said.beat))
+        if not self._led(sender, said, now):
             return
-        self._follow(said.term, sender, now)
-        self.heard_ns = now
         if said.index > self.commit:
             self.log.snapshot = Snapshot(said.index, said.last_term, said.voters, said.state)
             self.log.entries.clear()
+            self.cuts += 1
             self.commit = self.stable = said.index
             self.changes.snapshot, self.changes.since = self.log.snapshot, said.index + 1
         self._tell(sender, Appended(said.term, True, self.log.last, said.beat))
@@ -287,8 +297,3 @@
 
     def _tell(self, name: str, said: Message) -> None:
         self.changes.messages.append((name, said))
-
-    def _tell_all(self, said: Message) -> None:
-        for name in self.log.voters():
-            if name != self.name:
-                self._tell(name, said)
--- a/puffinpost/agreement/summary.py
+++ b/puffinpost/agreement/summary.py
@@ -20,7 +20,9 @@
         self.answered = self.failed = 0
 
     def add(self, failed: bool) -> None:
-        """One final answer was given."""
+        """One final answer was given; it counts where a staged version is acted on."""
+        if not self.ident:
+            return
         self.answered += 1
         self.failed += failed
 
--- a/puffinpost/cluster/__init__.py
+++ b/puffinpost/cluster/__init__.py
@@ -1,1 +1,3 @@
-"""Links between nodes, what they keep on disk, and the driver of a node's part in agreement."""
+"""Agreement on sockets and disk. `node` drives a member; begin there. `frames` and `links` are what nodes
+speak over, `store` what they have on disk, `status` and `operator` what operators ask.
+"""
--- a/puffinpost/cluster/node.py
+++ b/puffinpost/cluster/node.py
@@ -16,8 +16,9 @@
 
 from puffinpost import log
 from puffinpost.agreement.documents import Version
-from puffinpost.agreement.member import Member, Out
+from puffinpost.agreement.member import Member
 from puffinpost.agreement.messages import Ask, Message, Propose, Told
+from puffinpost.agreement.out import Out
 from puffinpost.cluster.links import Incoming, Links, Place
 from puffinpost.cluster.status import document_of, status_of
 from puffinpost.cluster.store import Store, Write
--- a/puffinpost/cluster/store.py
+++ b/puffinpost/cluster/store.py
@@ -57,6 +57,9 @@
                                          isolation_level=None)
             self._base.execute("PRAGMA journal_mode = WAL")
             self._base.execute("PRAGMA synchronous = FULL")
+            found = self._base.execute("PRAGMA quick_check").fetchone()[0]
+            if found != "ok":
+                raise StoreError(f"{folder}: the file is damaged: {found}")
             self._base.executescript(TABLES)
             self.identity = self._begin()
         except (sqlite3.Error, msgspec.DecodeError) as problem:
--- a/puffinpost/emulator/mesh/explore.py
+++ b/puffinpost/emulator/mesh/explore.py
@@ -23,6 +23,7 @@
 from puffinpost.agreement.log import Changes, Kept, Log, Snapshot
 from puffinpost.agreement.messages import Entry, Message, Propose, Vote, Voted
 from puffinpost.agreement.raft import Raft
+from puffinpost.emulator.mesh.cases import Bounds
 
 NAMES = ("a", "b", "c")
 VOTERS = {name: name for name in NAMES}
@@ -30,58 +31,6 @@
 WITHIN = 2  # T, in ticks
 
 
-@dataclass(frozen=True, slots=True)
-class Bounds:
-    """How much of each there may be in one history."""
-
-    elections: int = 2
-    proposals: int = 2
-    beats: int = 1
-    renewals: int = 1
-    crashes: int = 1
-    ticks: int = 3
-    votes_only: bool = False  # nothing but votes is said
-    states: int = 3_000_000
-
-
-# From a cluster that has just begun: who may lead, over a crash.
-VOTE = Bounds(elections=2, proposals=0, beats=0, renewals=0, crashes=1, ticks=0, states=60_000)
-# From one that has a leader, a version and leases: who may act, over an election and a cut or a pause.
-LEASE = Bounds(elections=1, proposals=1, beats=0, renewals=1, crashes=0, ticks=3, states=120_000)
-
-
-@dataclass(frozen=True, slots=True)
-class Case:
-    """A small case. ``settled``: it begins with a leader, a version and leases."""
-
-    name: str
-    bounds: Bounds
-    settled: bool
-    quick: bool
-
-
-CASES = (
-    Case("two elections and a crash, votes alone", Bounds(2, 0, 0, 0, 1, 0, votes_only=True), False, True),
-    Case("a proposal, a renewal, three ticks", Bounds(0, 1, 0, 1, 0, 3), True, True),
-    Case("three elections and a crash, votes alone", Bounds(3, 0, 0, 0, 1, 0, votes_only=True), False, False),
-    Case("an election, a renewal, two ticks", Bounds(1, 0, 0, 1, 0, 2), True, False),
-    Case("an election, a proposal, three ticks", Bounds(1, 1, 0, 0, 0, 3, states=600_000), True, False),
-    Case("two elections, a proposal and a crash", Bounds(2, 1, 0, 0, 1, 0, states=600_000), False, False),
-)
-
-
-@dataclass(frozen=True, slots=True)
-class Left:
-    """What may still happen."""
-
-    elections: int
-    proposals: int
-    beats: int
-    renewals: int
-    crashes: int
-    ticks: int
-
-
 class Voter:
     """One voter as it stands, with its lease and the version that it knows; never changed in a state."""
 
@@ -123,7 +72,7 @@
     now: int
     first: tuple[tuple[int, int], ...]  # version, and when it was first acted on
     leaders: tuple[tuple[int, str], ...]  # term, and who led it
-    left: Left
+    left: Bounds  # what may still happen
 
     def key(self) -> tuple[Any, ...]:
         """Equal for states that go on alike."""
@@ -150,11 +99,9 @@
         for name in NAMES:
             kept = Kept(0, "", Log(Snapshot(0, 0, VOTERS), []))
             voters.append(Voter(Raft(name, name, kept, 1, random.Random(0), 0), 0, 0))
-        left = Left(bounds.elections, bounds.proposals, bounds.beats, bounds.renewals, bounds.crashes,
-                    bounds.ticks)
-        self.start = State(tuple(voters), frozenset(), 0, (), (), left)
+        self.start = State(tuple(voters), frozenset(), 0, (), (), bounds)
         if settled:
-            self.start = replace(self._settled(), left=left)
+            self.start = replace(self._settled(), left=bounds)
 
     def run(self) -> Found:
         """Walks all that can happen within the bounds."""
@@ -183,7 +130,7 @@
 
     def _settled(self) -> State:
         """The first leads, all know one version and hold a lease of it from now on."""
-        plenty = Left(1, 1, 2, 0, 0, 0)
+        plenty = Bounds(1, 1, 2, 0, 0, 0)
         state = replace(self.start, left=plenty)
         for wanted in ("a stands for election", "a is given a proposal", "a sends a beat"):
             state = next(after for what, after, _ in self.steps(state) if what == wanted)
@@ -282,10 +229,10 @@
         left = replace(state.left, crashes=state.left.crashes - 1)
         return self._with(state, voters=_put(state.voters, at, made), left=left)
 
-    def _moved(self, state: State, at: int, raft: Raft, what: str, left: Left) -> tuple[str, State, str]:
+    def _moved(self, state: State, at: int, raft: Raft, what: str, left: Bounds) -> tuple[str, State, str]:
         """A voter has done something: what it wrote is on disk, what it said is under way."""
         changes = raft.take()
-        raft.persisted(raft.log.last)
+        raft.persisted(raft.log.last, raft.cuts)
         version, problem = state.voters[at].version, ""
         for index in range(1, min(raft.commit, raft.stable) + 1):
             if isinstance(raft.log.entry(index).command, Propose):
--- a/puffinpost/emulator/mesh/rig.py
+++ b/puffinpost/emulator/mesh/rig.py
@@ -26,7 +26,7 @@
 
 
 # Below the ports that the kernel deals out, on addresses that are this mesh's alone.
-CLAIM, INSIDE, FRONT = 12_000, 12_001, 12_002
+CLAIM, INSIDE, FRONT, CONSOLE = 12_000, 12_001, 12_002, 12_003
 
 
 def claimed() -> tuple[socket.socket, str]:
@@ -77,6 +77,7 @@
     def _process(self, name: str) -> Process:
         configured = {
             "name": name, "listen": f"{self.hosts[name]}:{FRONT}",
+            "console": f"{self.hosts[name]}:{CONSOLE}",
             "discovery": f"127.0.0.1:{self.discovery.port}", "seed": f"{self.seed:x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": self.discovery.list(),
             "settings": {**SETTINGS, "FleetSize": len(self.names), **self.settings.get(name, {})},
--- a/puffinpost/emulator/mesh/virtual.py
+++ b/puffinpost/emulator/mesh/virtual.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import functools
 import heapq
 import random
 from collections.abc import Callable
@@ -14,7 +15,7 @@
 from puffinpost.agreement.documents import Document
 from puffinpost.agreement.log import Kept, Log, Snapshot
 from puffinpost.agreement.member import Member
-from puffinpost.agreement.messages import Entry, Hello, Lease, Message, Propose
+from puffinpost.agreement.messages import Entry, Hello, Message, Propose
 from puffinpost.agreement.plan import Plan
 from puffinpost.emulator.mesh.checker import Event
 
@@ -56,7 +57,8 @@
 
     def __init__(self, seed: int, voters: int = 3, followers: int = 2, agree_within_ns: int = 2 * S,
                  fanout: int = 16, faults: frozenset[str] = frozenset(), drift: float = 0.01,
-                 on_lost: str = "narrow", check: Callable[[str, Any], str] = lambda doc, content: "") -> None:
+                 on_lost: str = "narrow",
+                 check: Callable[[str, str, Any], str] = lambda node, doc, content: "") -> None:
         self.chance = random.Random(seed)
         self.now, self.count = 0, 0
         self.queue: list[tuple[int, int, Callable[[], None]]] = []
@@ -99,7 +101,8 @@
         disk, plan = place.disk, place.plan
         kept = Kept(disk.term, disk.vote, Log(disk.snapshot, list(disk.entries)))
         member = Member(plan, disk.identity, kept if name in plan.voters else None,
-                        random.Random(self.chance.random()), place.clock(self.now), self.check)
+                        random.Random(self.chance.random()), place.clock(self.now),
+                        functools.partial(self.check, name))
         for document in disk.views.values():
             member.acting.learn(document)
         place.member, place.paused, place.dies = member, None, ""
@@ -203,10 +206,7 @@
         life = place.life
         if isinstance(said, Hello) and said.votes and not said.voters and place.member.hello().voters:
             self.send(target, sender, place.member.hello(), life)
-        late = self.now + 5 * S if isinstance(said, Lease) else None
-        self._step(place, life, lambda member, now: (
-            None if late is not None and self.now > late else member.receive(sender, identity, said, now)
-        ))
+        self._step(place, life, lambda member, now: member.receive(sender, identity, said, now))
 
     def part(self, one: set[str], other: set[str], one_way: bool = False) -> None:
         """Cuts the links from ``one`` to ``other``, and back unless ``one_way``."""
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -10,12 +11,17 @@
 from hypothesis import strategies as st
 
 from puffinpost.agreement import kept, merging
+from puffinpost.agreement.acting import Acting
 from puffinpost.agreement.documents import Documents, Kept, Version, digest, staged_at
 from puffinpost.agreement.lease import DRIFT, HOPS, Lease, span_ns
-from puffinpost.agreement.messages import Decide, Propose
+from puffinpost.agreement.log import Kept as LogKept
+from puffinpost.agreement.log import Log, Snapshot
+from puffinpost.agreement.messages import Append, Decide, Entry, Noop, Propose
 from puffinpost.agreement.plan import Plan
+from puffinpost.agreement.raft import Raft
 from puffinpost.emulator.mesh.checker import Event, check
-from puffinpost.emulator.mesh.explore import LEASE, VOTE, Bounds, Explorer
+from puffinpost.emulator.mesh.cases import LEASE, VOTE, Bounds
+from puffinpost.emulator.mesh.explore import Explorer
 from puffinpost.emulator.mesh.schedule import Shape, play
 from puffinpost.emulator.mesh.virtual import MS, S, Virtual
 
@@ -39,7 +45,7 @@
 @pytest.mark.parametrize("planted", ["stale_read", "lost_version", "lease_ignored"])
 def test_planted_faults_are_found(planted: str) -> None:
     """A version that is not read, one that is not passed on, a lease that is not looked at."""
-    shape = Shape(3, 2, faults=8)
+    shape = Shape(3, 2, faults=8, proposals=10, lasts_ns=(2 * S, 8 * S))  # faults that outlast a lease
     assert any(play(seed, shape, frozenset({planted})).breaches for seed in range(40))
 
 
@@ -94,22 +100,94 @@
     assert fleet.outcome(late) == ("accepted", "")
 
 
-def test_a_staged_version_that_fails_is_withdrawn_and_one_that_does_not_goes_to_all() -> None:
-    for failing, outcome in ((True, "withdrawn"), (False, "promoted")):
-        fleet = Virtual(4, 3, 17)
-        fleet.run(3 * S)
-        fleet.propose("n0", {"a": 1})
-        fleet.run(3 * S)
-        ident = fleet.propose("n0", {"a": 2}, share=0.4)
-        for _ in range(30):
-            fleet.run(S // 2)
-            for place in fleet.places.values():
-                if place.member is not None:
-                    place.member.counts.add(failing)
-        assert fleet.outcome(ident) is not None and str(fleet.outcome(ident)).startswith(f"('{outcome}'")
-        contents = {it.member.acting.version().content["a"] for it in fleet.places.values()  # type: ignore[union-attr]
-                    if it.member is not None}
-        assert contents == {1 if failing else 2}
+def staged(share: float, fails: Callable[[bool], bool]) -> tuple[Virtual, str]:
+    """Twenty nodes of which a share acts on a second version; ``fails``: whether an answer does, given
+    whether its node is among them. The fleet after it, and the proposal's ident.
+    """
+    fleet = Virtual(4, 3, 17)
+    fleet.run(3 * S)
+    fleet.propose("n0", {"a": 1})
+    fleet.run(3 * S)
+    ident = fleet.propose("n0", {"a": 2}, share=share)
+    for _ in range(30):
+        fleet.run(S // 2)
+        for place in fleet.places.values():
+            assert place.member is not None
+            version = place.member.acting.version()
+            among = version is not None and version.content["a"] == 2
+            for _ in range(3):
+                place.member.counts.add(fails(among))
+    return fleet, ident
+
+
+@pytest.mark.parametrize(("share", "fails", "outcome"), [
+    (0.4, lambda among: True, "withdrawn"), (0.4, lambda among: False, "promoted"),
+    (0.2, lambda among: among, "withdrawn"), (0.2, lambda among: not among, "promoted"),
+], ids=["all fail", "none fails", "those who act on it fail", "all the others fail"])
+def test_a_staged_version_that_fails_is_withdrawn_and_one_that_does_not_goes_to_all(
+    share: float, fails: Callable[[bool], bool], outcome: str
+) -> None:
+    fleet, ident = staged(share, fails)
+    found = fleet.outcome(ident)
+    assert found is not None and found[0] == outcome
+    contents = {it.member.acting.version().content["a"] for it in fleet.places.values()  # type: ignore[union-attr]
+                if it.member is not None}
+    assert contents == {1 if outcome == "withdrawn" else 2}
+
+
+def test_a_leader_that_is_voted_out_hands_over_and_all_go_on() -> None:
+    fleet = Virtual(11, 3, 2)
+    fleet.run(3 * S)
+    led = next(name for name, it in fleet.places.items()
+               if it.member and it.member.raft and it.member.raft.role == "leader")
+    fleet.propose("n4", {led: ""}, doc="@voters")
+    fleet.run(5 * S)
+    raft = fleet.places[led].member.raft  # type: ignore[union-attr]
+    assert raft is not None and raft.role == "follower" and led not in raft.log.voters()
+    ident = fleet.propose(led, {"a": 1})
+    fleet.run(3 * S)
+    assert fleet.outcome(ident) == ("accepted", "")
+    assert not [name for name, it in fleet.places.items()
+                if it.member is None or not it.member.acting.sure(it.clock(fleet.now))]
+    fleet.settle()
+    assert check(fleet.events, T, fleet.now) == []
+
+
+def test_what_was_on_disk_before_a_cut_says_nothing_of_what_came_after() -> None:
+    kept_by = LogKept(1, "", Log(Snapshot(0, 0, {"a": "a", "b": "b", "c": "c"}), []))
+    raft = Raft("b", "b", kept_by, 50 * MS, random.Random(1), 0)
+    raft.receive("a", Append(1, 0, 0, (Entry(1, Noop()), Entry(1, Noop())), 0, 0), 0)
+    cuts = raft.cuts
+    raft.receive("c", Append(2, 0, 0, (Entry(2, Noop()), Entry(2, Noop())), 0, 0), 0)
+    raft.persisted(2, cuts)  # of the entries that were cut
+    assert raft.stable == 0
+    raft.persisted(2, raft.cuts)
+    assert raft.stable == 2
+
+
+def test_a_new_leader_holds_to_what_an_earlier_version_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("puffinpost.agreement.member.COMPACT", 1)  # nothing of it is in the log any more
+    fleet = Virtual(12, 3, 0)
+    fleet.run(3 * S)
+    classes = [{"Name": "chat"}, {"Name": "mail"}]
+    for content in ({"Classes": classes, "kept": {"classes": ["chat"], "for_s": 30}}, {"Classes": classes}):
+        fleet.propose("n0", content)
+        fleet.run(2 * S)
+    for name in fleet.places:  # all start again, and their promises are in no process any more
+        fleet.kill(name)
+    fleet.heal()
+    fleet.run(4 * S)
+    ident = fleet.propose("n0", {"Classes": classes[1:]})
+    fleet.run(2 * S)
+    assert "was kept" in str(fleet.outcome(ident))
+
+
+def test_without_a_lease_it_is_as_the_operator_chose() -> None:
+    for on_lost, may in (("narrow", False), ("refuse", False), ("keep", True)):
+        acting = Acting("n0", on_lost, lambda doc, content: "")
+        assert acting.may("chat", 100) is may
+        acting.lease.taken(100, 50)
+        assert acting.may("chat", 149) and acting.may("chat", 150) is may
 
 
 def test_a_voter_without_its_folder_is_another_and_votes_once_it_is_let_in() -> None:
@@ -133,16 +211,16 @@
     assert fleet.outcome(ident) == ("accepted", "")  # it takes its vote now
 
 
-def test_a_node_that_cannot_act_on_a_version_stops_it_and_says_which_key() -> None:
-    def check_at(doc: str, content: Any) -> str:
-        return "Limits.Odd: there is no such key" if content.get("odd") else ""
+def test_one_node_that_cannot_act_on_a_version_stops_it_and_says_which_key() -> None:
+    def check_at(node: str, doc: str, content: Any) -> str:
+        return "Limits.Odd: there is no such key" if node == "n3" and content.get("odd") else ""
 
     fleet = Virtual(5, 3, 2, check=check_at)
     fleet.run(3 * S)
     ident = fleet.propose("n4", {"odd": True})
     fleet.run(3 * S)
     outcome = fleet.outcome(ident)
-    assert outcome is not None and outcome[0] == "rejected" and "Limits.Odd" in outcome[1]
+    assert outcome is not None and outcome[0] == "rejected" and outcome[1].startswith("n3: Limits.Odd")
     fleet.settle()
     assert check(fleet.events, T, fleet.now) == [] and not any(it.kind == "act" for it in fleet.events)
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
-from standins import SETTINGS
+from standins import ROOT, SETTINGS
 
 from puffinpost.agreement.messages import Hello
 from puffinpost.cluster.frames import HEAD, FrameError, Frames, encode
@@ -17,8 +18,8 @@
 from puffinpost.emulator.mesh.checker import check
 from puffinpost.emulator.mesh.history import read, write
 from puffinpost.emulator.mesh.play import Played, play
-from puffinpost.emulator.mesh.rig import CLUSTER, Rig
-from puffinpost.emulator.mesh.scenario import ScenarioError, parse
+from puffinpost.emulator.mesh.rig import CLUSTER, CONSOLE, Rig
+from puffinpost.emulator.mesh.scenario import ScenarioError, load, parse
 
 STEP = '[[step]]\nat_s = {0}\ndo = "{1}"\nnode = "{2}"\nfor_s = {3}\n'
 NS = 1_000_000_000
@@ -226,6 +227,33 @@
     on_mesh(story, Rig(tmp_path, 5, 3), per_s=10, transcribers=2)
 
 
+def test_a_sighup_and_a_ban_at_one_nodes_console_become_proposals_to_all(tmp_path: Path) -> None:
+    async def story(rig: Rig) -> None:
+        node = rig.nodes["n4"]
+        path = node.folder / "config.json"
+        told = json.loads(path.read_text())
+        told["settings"]["Limits"]["AttemptsCap"] = 2
+        path.write_text(json.dumps(told))
+        node.signal(signal.SIGHUP)
+
+        async def shared() -> bool:
+            documents = [await it.ask("document", "settings") for it in rig.nodes.values()]
+            contents = [(it.get("active") or {}).get("content", {}) for it in documents]
+            return all(it.get("Limits", {}).get("AttemptsCap") == 2 for it in contents)
+        await rig.until(shared, 20, "file of one node at all")
+        reader, writer = await asyncio.open_connection(node.front[0], CONSOLE)
+        writer.write(b"POST /transcribers/disable/s-0 HTTP/1.1\r\nHost: console\r\n\r\n")
+        assert b" 202 " in await reader.readline()
+        writer.close()
+
+        async def banned() -> bool:
+            documents = [await it.ask("document", "bans") for it in rig.nodes.values()]
+            return all((it.get("active") or {}).get("content", {}).keys() == {"s-0"} for it in documents)
+        await rig.until(banned, 20, "ban at all")
+        assert await rig.checked() == []
+    on_mesh(story, Rig(tmp_path, 5, 3), per_s=5)
+
+
 def test_without_the_majority_each_node_reads_the_list_itself(tmp_path: Path) -> None:
     async def story(rig: Rig) -> None:
         await rig.propose()
@@ -318,6 +346,11 @@
             Frames().feed(bytes(spoilt) + bytes(70_000_000 if at < 4 else 0))
 
 
+def test_the_scenarios_that_are_kept_can_be_played() -> None:
+    found = sorted((ROOT / "bench" / "scenarios").glob("*.toml"))
+    assert [load(path).nodes for path in found] == [7, 60, 200]
+
+
 def test_a_scenario_that_cannot_be_right_names_its_key() -> None:
     melts = "[[step]]\nat_s = 1\ndo = 'melt'"
     for text, key in (("nodes = 0", "nodes"), (melts, "step[0].do"), ("x = 1", "x")):
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,91 @@
+"""What a node has on disk of agreement: whole after a kill, refused where it is damaged or in use."""
+
+from __future__ import annotations
+
+import os
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from standins import ROOT
+
+from puffinpost.agreement.documents import Document
+from puffinpost.agreement.log import Snapshot
+from puffinpost.agreement.messages import Entry, Noop, Propose
+from puffinpost.cluster.store import Store, StoreError, Write
+
+ENTRIES = tuple(Entry(1, Propose(f"p{at}", "settings", {"n": at})) for at in range(5))
+KILLED = """
+import os, sys
+from pathlib import Path
+from puffinpost.agreement.messages import Entry, Noop
+from puffinpost.cluster.store import Store, Write
+store, at = Store(Path(sys.argv[1])), 0
+while True:
+    at += 1
+    store.write(Write((at, f"n{at}"), None, at, (Entry(at, Noop()),)))
+    os.write(1, b"%d\\n" % at)  # told only after it is written
+"""
+
+
+def test_what_was_written_is_there_again_and_entries_are_replaced(tmp_path: Path) -> None:
+    store = Store(tmp_path)
+    identity, view = store.identity, Document("bans", 3)
+    store.write(Write((1, "n0"), None, 1, ENTRIES))
+    store.write(Write((2, ""), None, 3, (Entry(2, Noop()),), (view,)))
+    store.close()
+    again = Store(tmp_path)
+    kept, views = again.read()
+    assert (kept.term, kept.vote, views, again.identity) == (2, "", [view], identity)
+    assert kept.log.entries == [*ENTRIES[:2], Entry(2, Noop())]
+    again.write(Write(snapshot=Snapshot(2, 1, {"n0": "x"}, b"state")))
+    again.close()
+    kept, _ = Store(tmp_path).read()
+    assert kept.log.snapshot == Snapshot(2, 1, {"n0": "x"}, b"state") and kept.log.last == 3
+
+
+def test_a_folder_has_one_process_and_one_that_is_new_has_another_identity(tmp_path: Path) -> None:
+    first = Store(tmp_path / "a")
+    with pytest.raises(StoreError, match="another process has it"):
+        Store(tmp_path / "a")
+    assert Store(tmp_path / "b").identity != first.identity
+    assert (tmp_path / "a" / "operator-token").stat().st_mode & 0o077 == 0
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_what_a_killed_process_had_told_is_on_disk(tmp_path: Path, seed: int) -> None:
+    writer = subprocess.Popen([sys.executable, "-c", KILLED, str(tmp_path)], cwd=ROOT, stdout=subprocess.PIPE)
+    assert writer.stdout is not None
+    told = [int(writer.stdout.readline()) for _ in range(20 + 7 * seed)]
+    writer.kill()
+    told += [int(line) for line in writer.stdout.read().split()]
+    writer.wait()
+    kept, _ = Store(tmp_path).read()
+    assert kept.term >= told[-1] and kept.vote == f"n{kept.term}" and kept.log.last == kept.term
+
+
+def test_a_file_that_is_cut_is_whole_or_refused_and_so_is_one_without_an_entry(tmp_path: Path) -> None:
+    store = Store(tmp_path / "a")
+    store.write(Write((1, "n0"), None, 1, ENTRIES))
+    store._base.execute("PRAGMA wal_checkpoint(TRUNCATE)")
+    store.close()
+    whole = (tmp_path / "a" / "agreement.sqlite").read_bytes()
+    for size in range(0, len(whole), 1024):
+        folder = tmp_path / f"cut-{size}"
+        shutil.copytree(tmp_path / "a", folder)
+        os.truncate(folder / "agreement.sqlite", size)
+        try:
+            cut = Store(folder)
+            kept, _ = cut.read()
+        except StoreError:
+            continue
+        whole_still = (kept.term, kept.vote, kept.log.entries, cut.identity) == (1, "n0", [*ENTRIES],
+                                                                                 store.identity)
+        fresh = (kept.term, kept.log.last) == (0, 0) and cut.identity != store.identity
+        assert whole_still or (fresh and size == 0), size
+    gap = Store(tmp_path / "a")
+    gap._base.execute("DELETE FROM entries WHERE number = 2")
+    with pytest.raises(StoreError, match="missing"):
+        gap.read()
