--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -15,7 +15,7 @@
 from puffinpost.agreement.messages import Hello
 from puffinpost.cluster.frames import HEAD, FrameError, Frames, encode
 from puffinpost.cluster.links import OPERATOR
-from puffinpost.emulator.mesh.checker import check
+from puffinpost.emulator.mesh.checker import Breach, check
 from puffinpost.emulator.mesh.history import read, write
 from puffinpost.emulator.mesh.play import Played, play
 from puffinpost.emulator.mesh.rig import CLUSTER, CONSOLE, Rig
@@ -303,12 +303,20 @@
 
 
 def test_a_planted_fault_is_found_and_the_history_shows_it(tmp_path: Path) -> None:
-    cut = '[[step]]\nat_s = 2\ndo = "cut"\nnode = "n6"\nfor_s = 6\n' + STEP.format(3.5, "propose", "n0", 0)
-    text = 'planted = ["lease_ignored"]\n' + steps((0, "propose", "n0", 0)) + cut
-    found = asyncio.run(play(parse(text), tmp_path, 1))
-    assert any("two versions" in it.promise and "n6" in it.text() for it in found.breaches)
-    write(tmp_path / "all", found.events)
-    assert check(read([tmp_path / "all"]), 2 * NS, 2**63) != []
+    async def story(rig: Rig) -> None:
+        assert (await rig.propose("n0"))["outcome"] == "accepted"
+        rig.fault("n6", "cut")
+        rig.fabric.cut(["n6"], rig.names)
+        assert (await rig.propose("n0"))["outcome"] == "accepted"
+
+        async def found() -> list[Breach]:  # n6 goes on with the old version, for as long as it is cut off
+            return [it for it in check(rig.events(), 2 * NS, 2**63) if "two versions" in it.promise]
+        assert "n6" in (await rig.until(found, 20, "contradiction in the history"))[0].text()
+        rig.fabric.rules.heal()
+        write(tmp_path / "all", rig.events())
+        assert any("two versions" in it.promise for it in check(read([tmp_path / "all"]), 2 * NS, 2**63))
+    own = {f"n{at}": 'faults = ["lease_ignored"]' for at in range(7)}
+    on_mesh(story, Rig(tmp_path, 7, 3, own=own), per_s=10)
 
 
 def test_a_link_that_is_no_members_ends_alone_and_is_counted(tmp_path: Path) -> None:
