Agreement's values on disk have checksums; a full disk and one node that cannot act are tests

SQLite's pages have no checksum, so a flipped bit inside a value was not always seen; a folder that is full while a node runs, and a version that one node alone cannot act on, had no test of processes. Change: form 2 of the file seals each value with CRC-32 over it and its place; form 1 is brought up in one transaction. The rig can fill a process's disk (RLIMIT_FSIZE) and make room again. A history that cannot be written is said in the log and no longer thrown at the message on its way.

--- a/puffinpost/cluster/store.py
+++ b/puffinpost/cluster/store.py
@@ -1,6 +1,8 @@
 """What a node has on disk of agreement: one SQLite file (https://sqlite.org/atomiccommit.html) in its folder.
 
 A write is one transaction, synced before it returns. The caller writes from a thread of its own, in order.
+SQLite's pages have no checksum, so each value has one of its own (CRC-32, over its place too): a flipped bit
+is found, and so is a value that stands where another belongs.
 """
 
 from __future__ import annotations
@@ -8,6 +10,7 @@
 import fcntl
 import secrets
 import sqlite3
+import zlib
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -17,7 +20,8 @@
 from puffinpost.agreement.log import Kept, Log, Snapshot
 from puffinpost.agreement.messages import Entry
 
-FORM = 1  # of the file; another one is not read
+FORM = 2  # of the file; one of form 1, without checksums, is brought up to it, and no other is read
+SUM_SIZE = 4
 TABLES = """
 CREATE TABLE IF NOT EXISTS one (name TEXT PRIMARY KEY, value BLOB NOT NULL) WITHOUT ROWID;
 CREATE TABLE IF NOT EXISTS entries (number INTEGER PRIMARY KEY, entry BLOB NOT NULL);
@@ -40,6 +44,19 @@
     views: tuple[Document, ...] = field(default_factory=tuple)
 
 
+def sealed(place: str, value: bytes) -> bytes:
+    """A value with the checksum of it and of the place where it stands."""
+    return zlib.crc32(value, zlib.crc32(place.encode())).to_bytes(SUM_SIZE, "big") + value
+
+
+def opened(place: str, kept: bytes) -> bytes:
+    """The value. Raises ``StoreError`` where it is not what was written there."""
+    value = kept[SUM_SIZE:]
+    if sealed(place, value) != kept:
+        raise StoreError(f"{place} is damaged: its checksum is wrong")
+    return value
+
+
 class Store:
     """A node's folder. Raises ``StoreError`` where another process has it, or it cannot be read."""
 
@@ -71,15 +88,36 @@
         self.token = token.read_text()
 
     def _begin(self) -> str:
-        form = self._one("form")
+        row = self._base.execute("SELECT value FROM one WHERE name = 'form'").fetchone()
+        form = bytes(row[0]) if row is not None else None
         if form is None:
             with self._base:
                 self._base.execute("BEGIN")
-                self._put("form", str(FORM).encode())
                 self._put("identity", secrets.token_hex(8).encode())
+                self._formed()
+        elif form == b"1":
+            self._seal()
         elif form != str(FORM).encode():
             raise StoreError(f"the file is of form {form.decode(errors='replace')}, and {FORM} is wanted")
-        return (self._one("identity") or b"").decode()
+        identity = self._one("identity")
+        if identity is None:
+            raise StoreError("it has no identity")
+        return identity.decode()
+
+    def _formed(self) -> None:
+        self._base.execute("INSERT OR REPLACE INTO one VALUES ('form', ?)", (str(FORM).encode(),))
+
+    def _seal(self) -> None:
+        """A file of form 1: each value is given its checksum, all in one transaction."""
+        with self._base:
+            self._base.execute("BEGIN IMMEDIATE")
+            for table, key, value in (("one", "name", "value"), ("entries", "number", "entry"),
+                                      ("views", "doc", "document")):
+                rows = self._base.execute(f"SELECT {key}, {value} FROM {table} WHERE {key} != 'form'")
+                self._base.executemany(f"UPDATE {table} SET {value} = ? WHERE {key} = ?", [
+                    (sealed(f"{table} {where}", bytes(kept)), where) for where, kept in rows.fetchall()
+                ])
+            self._formed()
 
     def read(self) -> tuple[Kept, list[Document]]:
         """What a voter had, and the documents that were acted on."""
@@ -91,9 +129,9 @@
                                   (snapshot.index,)).fetchall()
         if [number for number, _ in rows] != list(range(snapshot.index + 1, snapshot.index + 1 + len(rows))):
             raise StoreError("entries are missing from the log")
-        entries = [msgspec.msgpack.decode(entry, type=Entry) for _, entry in rows]
-        views = [msgspec.msgpack.decode(row[0], type=Document)
-                 for row in self._base.execute("SELECT document FROM views")]
+        entries = [msgspec.msgpack.decode(opened(f"entries {at}", entry), type=Entry) for at, entry in rows]
+        views = [msgspec.msgpack.decode(opened(f"views {doc}", view), type=Document)
+                 for doc, view in self._base.execute("SELECT doc, document FROM views")]
         return Kept(term, vote, Log(snapshot, entries)), views
 
     def write(self, told: Write) -> None:
@@ -108,10 +146,11 @@
             if told.since is not None:
                 self._base.execute("DELETE FROM entries WHERE number >= ?", (told.since,))
                 self._base.executemany("INSERT INTO entries VALUES (?, ?)", [
-                    (told.since + at, msgspec.msgpack.encode(entry)) for at, entry in enumerate(told.entries)
+                    (at, sealed(f"entries {at}", msgspec.msgpack.encode(entry)))
+                    for at, entry in enumerate(told.entries, told.since)
                 ])
             self._base.executemany("INSERT OR REPLACE INTO views VALUES (?, ?)", [
-                (view.name, msgspec.msgpack.encode(view)) for view in told.views
+                (view.name, sealed(f"views {view.name}", msgspec.msgpack.encode(view))) for view in told.views
             ])
 
     def close(self) -> None:
@@ -121,7 +160,7 @@
 
     def _one(self, name: str) -> bytes | None:
         row = self._base.execute("SELECT value FROM one WHERE name = ?", (name,)).fetchone()
-        return bytes(row[0]) if row is not None else None
+        return opened(f"one {name}", bytes(row[0])) if row is not None else None
 
     def _put(self, name: str, value: bytes) -> None:
-        self._base.execute("INSERT OR REPLACE INTO one VALUES (?, ?)", (name, value))
+        self._base.execute("INSERT OR REPLACE INTO one VALUES (?, ?)", (name, sealed(f"one {name}", value)))
--- a/puffinpost/emulator/mesh/process.py
+++ b/puffinpost/emulator/mesh/process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import resource
 import shutil
 import signal
 import subprocess
@@ -76,6 +77,18 @@
         if not folder:
             shutil.rmtree(self.kept, ignore_errors=True)
 
+    def fill(self) -> None:
+        """Its disk is full: no file of this process may grow over what its store has already (EFBIG)."""
+        assert self.child is not None
+        size = (self.kept / "agreement.sqlite-wal").stat().st_size
+        resource.prlimit(self.child.pid, resource.RLIMIT_FSIZE, (size, resource.RLIM_INFINITY))
+
+    def room(self) -> None:
+        """There is room again."""
+        assert self.child is not None
+        no_end = resource.RLIM_INFINITY
+        resource.prlimit(self.child.pid, resource.RLIMIT_FSIZE, (no_end, no_end))
+
     def stop(self) -> None:
         """SIGSTOP: it does nothing, and its connections stay open."""
         self.stopped = True
--- a/puffinpost/wiring/agreed.py
+++ b/puffinpost/wiring/agreed.py
@@ -36,7 +36,10 @@
         """One event; see ``emulator.mesh.checker.Event``."""
         if self._file is not None:
             told = {"t": time.monotonic_ns(), "node": self.node, "kind": kind, **more}
-            self._file.write(orjson.dumps(told) + b"\n")
+            try:
+                self._file.write(orjson.dumps(told) + b"\n")
+            except OSError as problem:  # guards the message that is on its way: a full disk is not its fault
+                log.say(f"cluster.history: {problem}", often=True)
 
 
 class Agreed:
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -162,6 +162,51 @@
     on_mesh(story, Rig(tmp_path, 7, 3), per_s=5)
 
 
+def test_a_version_that_one_node_alone_cannot_act_on_is_acted_on_by_nobody(tmp_path: Path) -> None:
+    odd = {"FamilyInfo": {"MessageAimNs": [100_000_000, -1], "Mode": "proxy"}}  # no matter with one class
+    two = {"Classes": [SETTINGS["Classes"][0], {**SETTINGS["Classes"][0], "Name": "second"}]}
+
+    async def story(rig: Rig) -> None:
+        assert (await rig.propose())["outcome"] == "accepted"
+        found = await rig.propose("n2", two)
+        assert found["outcome"] == "rejected"
+        assert found["problem"].startswith("n5: settings: classes[1]"), found
+        rig.nodes["n5"].stop()  # who is not there is not waited for, and acts on nothing either
+        rig.fault("n5", "stop")
+        assert (await rig.propose("n2", two))["outcome"] == "accepted"
+        rig.nodes["n5"].go_on()
+
+        async def says_so() -> bool:
+            told = (await rig.status()).get("n5", {})
+            return "classes[1]" in str(told.get("problems")) and not told["sure"]
+        await rig.until(says_so, 10, "word of n5 on what is in its way")
+        assert (await rig.propose("n2", {"Classes": two["Classes"][:1]}))["outcome"] == "accepted"
+        await rig.until_sure(10)
+        assert await rig.checked() == []
+    on_mesh(story, Rig(tmp_path, 7, 3, settings={"n5": odd}), per_s=5)
+
+
+def test_a_full_disk_silences_a_node_and_room_brings_it_back(tmp_path: Path) -> None:
+    async def story(rig: Rig) -> None:
+        assert (await rig.propose())["outcome"] == "accepted"
+        for name in (await rig.leader(), "n6"):
+            node = rig.nodes[name]
+            rig.fault(name, "disk full")
+            node.fill()
+            assert (await rig.propose("n3"))["outcome"] == "accepted"  # by the others
+
+            async def behind(name: str = name) -> bool:
+                told = (await rig.status()).get(name, {})
+                return bool(told) and not told["sure"]
+            await rig.until(behind, 20, "end of the lease")
+            assert "cluster: " in node.last_words()  # what SQLite said
+            node.room()
+            await rig.until_sure(20)
+        assert (await rig.propose("n6"))["outcome"] == "accepted"
+        assert await rig.checked() == []
+    on_mesh(story, Rig(tmp_path, 7, 3), per_s=5)
+
+
 def test_followers_and_voters_come_back_with_what_they_had_on_disk(tmp_path: Path) -> None:
     async def story(rig: Rig) -> None:
         assert (await rig.propose())["outcome"] == "accepted"
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -14,7 +14,7 @@
 from puffinpost.agreement.documents import Document
 from puffinpost.agreement.log import Snapshot
 from puffinpost.agreement.messages import Entry, Noop, Propose
-from puffinpost.cluster.store import Store, StoreError, Write
+from puffinpost.cluster.store import SUM_SIZE, Store, StoreError, Write
 
 ENTRIES = tuple(Entry(1, Propose(f"p{at}", "settings", {"n": at})) for at in range(5))
 KILLED = """
@@ -89,3 +89,46 @@
     gap._base.execute("DELETE FROM entries WHERE number = 2")
     with pytest.raises(StoreError, match="missing"):
         gap.read()
+
+
+def _written(folder: Path) -> Store:
+    store = Store(folder)
+    store.write(Write((1, "n0"), Snapshot(0, 0, {"n0": "x"}), 1, ENTRIES, (Document("bans", 3),)))
+    return store
+
+
+@pytest.mark.parametrize(("table", "key", "value"),
+                         [("one", "name", "value"), ("entries", "number", "entry"),
+                          ("views", "doc", "document")])
+def test_a_flipped_bit_in_any_value_is_refused(tmp_path: Path, table: str, key: str, value: str) -> None:
+    store = _written(tmp_path / "a")
+    rows = store._base.execute(f"SELECT {key}, {value} FROM {table} WHERE {key} != 'form'").fetchall()
+    for where, kept in rows:
+        for at in range(len(kept)):
+            spoilt = bytearray(kept)
+            spoilt[at] ^= 1 << at % 8
+            store._base.execute(f"UPDATE {table} SET {value} = ? WHERE {key} = ?", (bytes(spoilt), where))
+            with pytest.raises(StoreError, match=f"{table} {where} is damaged"):
+                store._one("identity")
+                store.read()
+        store._base.execute(f"UPDATE {table} SET {value} = ? WHERE {key} = ?", (kept, where))
+    assert rows and store.read()[0].log.entries == [*ENTRIES]
+    store._base.execute("UPDATE entries SET entry = (SELECT entry FROM entries WHERE number = 2)")
+    with pytest.raises(StoreError, match="entries 1 is damaged"):  # sound, but of another place
+        store.read()
+
+
+def test_a_file_without_checksums_is_brought_up_and_a_newer_one_is_refused(tmp_path: Path) -> None:
+    store = _written(tmp_path / "a")
+    for table, value in (("one", "value"), ("entries", "entry"), ("views", "document")):
+        store._base.execute(f"UPDATE {table} SET {value} = substr({value}, {SUM_SIZE + 1})"
+                            + (" WHERE name != 'form'" if table == "one" else ""))
+    store._base.execute("UPDATE one SET value = CAST('1' AS BLOB) WHERE name = 'form'")
+    store.close()
+    again = Store(tmp_path / "a")
+    assert again.identity == store.identity and again.read()[0].log.entries == [*ENTRIES]
+    assert again.read()[1] == [Document("bans", 3)]
+    again._base.execute("UPDATE one SET value = CAST('3' AS BLOB) WHERE name = 'form'")
+    again.close()
+    with pytest.raises(StoreError, match="form 3"):
+        Store(tmp_path / "a")
