Replication: copies of single writers that heal after cuts, and processes that keep them

What a node learns, holds and is told by hand died with its process. Change: replica/ (no I/O): each life of a node is the only writer of its rows, a copy is a prefix of them (Scuttlebutt reconciliation), news are told by numbers and asked for, damaged and lost rows are found by checksums over spans, what was taken back is remembered and then cleared, a new life takes over from the ones before it. Bans by hybrid clocks, what is learned of transcribers, use by tenant and sends by laws at reading. cluster/ drives it on agreement's links and keeps it in SQLite; decisions take it as one event (Heard). puffinpost replica show and diff. Off without [cluster.replica], and loads nothing then.

--- a/puffinpost/agreement/member.py
+++ b/puffinpost/agreement/member.py
@@ -62,6 +62,7 @@
         self.leader = ""
         self.deciding: Deciding | None = None
         self.promises = Promises(plan.agree_within_ns)
+        self.speaks: tuple[str, ...] = ()  # what else this node understands
         self.strangers = 0  # messages of voters whose identity is another
         self._sent: list[tuple[str, Message]] = []
         self._replies: list[tuple[Any, Message]] = []
@@ -74,7 +75,7 @@
         """How it introduces itself."""
         voters = self.raft.log.voters() if self.raft is not None else {}
         votes = self.raft is not None and self.plan.name in self.plan.voters
-        return Hello(self.plan.cluster, PROTOCOL, self.plan.name, self.identity, votes, voters)
+        return Hello(self.plan.cluster, PROTOCOL, self.plan.name, self.identity, votes, voters, self.speaks)
 
     def take(self) -> Out:
         """What is to be written, sent and told."""
--- a/puffinpost/agreement/messages.py
+++ b/puffinpost/agreement/messages.py
@@ -165,6 +165,7 @@
     identity: str
     votes: bool = False  # it is to vote by its operator's file, and has a folder
     voters: dict[str, str] = {}  # who votes, as it knows; empty: it has no part in any founding yet
+    speaks: tuple[str, ...] = ()  # what else it understands, beside agreement
 
 
 Message: TypeAlias = Vote | Voted | Append | Install | Appended | Renew | Lease | Hello
@@ -174,7 +175,7 @@
 
 
 class Ask(Said):
-    """``what``: ``status``, ``document``, ``offer`` or ``outcome``; ``about``: a document or a proposal."""
+    """``what``: ``status``, ``document``, ``offer``, ``outcome`` ``replica``; ``about``: what."""
 
     what: str
     about: str = ""
--- a/puffinpost/cli/main.py
+++ b/puffinpost/cli/main.py
@@ -225,6 +225,45 @@
     reached.change_voter(name, identity, why)
 
 
+@puffinpost.group()
+def replica() -> None:
+    """State that lives at several nodes: what one has of it, and where two differ."""
+
+
+@replica.command("show")
+@click.option("--node", default="", envvar="GW_NAME", help="Which node, where the file does not say.")
+@click.option("--json", "as_json", is_flag=True)
+@click.argument("about", default="")
+def replica_show(node: str, as_json: bool, about: str) -> None:
+    """Copies and neighbours of the node that GW_EDGE's file is about; ABOUT: a kind, or an origin
+    (node/life), whose rows are shown.
+    """
+    import json
+    import os
+
+    from puffinpost.cli.replica import status, text_of
+    from puffinpost.cli.settings import reach
+
+    told = status(dict(os.environ), node)
+    if about:
+        for row in reach(dict(os.environ), node).ask("replica", about):
+            click.echo(json.dumps(row))
+        return
+    click.echo(json.dumps(told) if as_json else text_of(told))
+
+
+@replica.command("diff")
+@click.argument("one", type=click.Path(path_type=Path, exists=True))
+@click.argument("other", type=click.Path(path_type=Path, exists=True))
+def replica_diff(one: Path, other: Path) -> None:
+    """Where the copies of two nodes differ, each named by its operator's file (edge.toml, in a folder of the
+    node's name where the file does not name it). Exits with 0 where they are equal, else 1.
+    """
+    from puffinpost.cli.replica import diff
+
+    sys.exit(diff(one, other))
+
+
 def main() -> int:
     """Runs what the arguments name; the exit code."""
     puffinpost(prog_name="puffinpost")
--- a/puffinpost/cluster/frames.py
+++ b/puffinpost/cluster/frames.py
@@ -7,6 +7,7 @@
 
 import struct
 import zlib
+from typing import Any
 
 import msgspec
 
@@ -16,7 +17,13 @@
 LONGEST = 4 * 1024 * 1024  # bytes of a message; documents are small
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder: msgspec.msgpack.Decoder[Frame] = msgspec.msgpack.Decoder(Frame)
+_decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Frame)
+
+
+def speak(more: Any) -> None:
+    """From now on this process understands these messages too (a union of structs)."""
+    global _decoder
+    _decoder = msgspec.msgpack.Decoder(Frame | more)
 
 
 class FrameError(ValueError):
@@ -27,7 +34,7 @@
         self.kind = kind
 
 
-def encode(said: Frame) -> bytes:
+def encode(said: msgspec.Struct) -> bytes:
     """The bytes of a message."""
     body = _encoder.encode(said)
     return HEAD.pack(len(body), zlib.crc32(body)) + body
--- a/puffinpost/cluster/links.py
+++ b/puffinpost/cluster/links.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import msgspec
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 from tornado.tcpserver import TCPServer
 
@@ -87,7 +88,7 @@
         self.stream: IOStream | None = None
         self.task = asyncio.ensure_future(self._run())
 
-    def say(self, said: Frame) -> None:
+    def say(self, said: msgspec.Struct) -> None:
         """Sends, or keeps it for the next moment at which the link is up."""
         if self.stream is not None:
             _write(self.stream, encode(said))
@@ -151,7 +152,7 @@
         self.outgoing: dict[str, Outgoing] = {}
         self.incoming: set[IOStream] = set()
 
-    def say(self, name: str, said: Message) -> None:
+    def say(self, name: str, said: msgspec.Struct) -> None:
         """Says something to a member; lost where there is no such member, or no link for long."""
         if name in self.place.members:
             if name not in self.outgoing:
--- a/puffinpost/cluster/node.py
+++ b/puffinpost/cluster/node.py
@@ -10,20 +10,23 @@
 from collections import deque
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
 from puffinpost import log
 from puffinpost.agreement.documents import Version
 from puffinpost.agreement.member import Member
-from puffinpost.agreement.messages import Ask, Message, Propose, Told
+from puffinpost.agreement.messages import Ask, Hello, Message, Propose, Told
 from puffinpost.agreement.out import Out
 from puffinpost.cluster.links import Incoming, Links, Place
 from puffinpost.cluster.status import document_of, status_of
 from puffinpost.cluster.store import Store, Write
 from puffinpost.config.cluster import ClusterConfig
 
+if TYPE_CHECKING:
+    from puffinpost.cluster.replica import Replica
+
 LEAST_S = 0.002  # between two looks at the time
 
 
@@ -33,7 +36,8 @@
     """
 
     def __init__(self, told: ClusterConfig, seed: int, check: Callable[[str, Any], str],
-                 change: Callable[[str, Version], None], count: Callable[[str], None]) -> None:
+                 change: Callable[[str, Version], None], count: Callable[[str], None],
+                 replicated: Callable[[set[tuple[str, str]]], None]) -> None:
         self.told, self.count = told, count
         self.store = Store(told.folder) if told.folder is not None else None
         chance = random.Random(f"{seed}.{told.plan.name}")
@@ -46,6 +50,12 @@
             told.plan.cluster, told.members, self.member.hello, self._received, self._asked, count,
             self.store.token if self.store is not None else "",
         ), chance)
+        self.replica: Replica | None = None
+        if told.replica.on:
+            from puffinpost.cluster.replica import SPEAKS, Replica
+
+            self.replica = Replica(told, seed, self.links, count, replicated)
+            self.member.speaks = (SPEAKS,)
         self.writer = ThreadPoolExecutor(1, "cluster-store") if self.store is not None else None
         self.batches: deque[Out] = deque()
         self.writing: asyncio.Task[None] | None = None
@@ -71,6 +81,8 @@
             for name in self.told.plan.voters:
                 if name != self.told.plan.name:
                     self.links.say(name, self.member.hello())
+        if self.replica is not None:
+            self.replica.start(self.member.hello)
         self._look()
 
     async def stop(self) -> None:
@@ -78,6 +90,8 @@
         if self.timer is not None:
             self.timer.cancel()
         await self.links.close()
+        if self.replica is not None:
+            await self.replica.stop()
         if self.writing is not None:
             await asyncio.gather(self.writing, return_exceptions=True)
         if self.writer is not None and self.store is not None:
@@ -104,6 +118,11 @@
             self.timer = asyncio.get_running_loop().call_later(0.1, self._look_safely)
 
     def _received(self, sender: str, identity: str, said: Message, link: Incoming | None) -> None:
+        if self.replica is not None:
+            if self.replica.takes(sender, said):
+                return
+            if isinstance(said, Hello) and self.replica.speaks(said.speaks):
+                self.replica.up(sender)
         try:
             self.member.receive(sender, identity, said, self.clock(), link)
         except Exception:  # guards the link and the node: one message is lost, as any may be
@@ -188,6 +207,9 @@
         if asked.what == "outcome":
             found = member.outcome(asked.about)
             return Told(msgspec.json.encode({"outcome": found[0], "problem": found[1]} if found else {}))
+        if asked.what == "replica":
+            told = self.replica.answer(asked.about) if self.replica is not None else {}
+            return Told(msgspec.json.encode(told))
         if asked.what == "document":
             return Told(msgspec.json.encode(document_of(member, asked.about)))
         return Told(msgspec.json.encode(status_of(member, self.clock(), functools.partial(_count, self))))
--- a/puffinpost/config/cluster.py
+++ b/puffinpost/config/cluster.py
@@ -26,6 +26,10 @@
     folder: Path | None
     history: Path | None
     clock_rate: float
+    replica: schema.Replica
+    wall_off_file: Path | None = None
+    writes_per_s: float = 0.0
+    places: int = 1
 
 
 def make(table: schema.Cluster) -> ClusterConfig:
@@ -47,7 +51,9 @@
     listen = _address(table.listen, "cluster.listen") if table.listen else ("", 0)
     return ClusterConfig(
         plan, listen, members, Path(table.folder) if table.folder else None,
-        Path(table.history) if table.history else None, table.rehearsal.clock_rate,
+        Path(table.history) if table.history else None, table.rehearsal.clock_rate, table.replica,
+        Path(table.rehearsal.wall_off_file) if table.rehearsal.wall_off_file else None,
+        table.rehearsal.writes_per_s, table.rehearsal.places,
     )
 
 
--- a/puffinpost/config/schema.py
+++ b/puffinpost/config/schema.py
@@ -106,12 +106,31 @@
 
 
 class Rehearsal(Table):
-    """For rehearsals alone: a clock that runs fast or slow, and faults planted in this node."""
+    """For rehearsals alone: a clock that runs fast or slow, a time of day that is off by what stands in a
+    file (ms), and faults planted in this node.
+    """
 
     clock_rate: Annotated[float, Meta(ge=0.9, le=1.1)] = 1.0
+    wall_off_file: str = ""
+    writes_per_s: Annotated[float, Meta(ge=0, le=20000)] = 0.0  # replicated rows of no meaning, over ...
+    places: Annotated[int, Meta(ge=1, le=200000)] = 1000  # ... so many places
     faults: list[Literal["stale_read", "lost_version", "lease_ignored"]] = msgspec.field(default_factory=list)
 
 
+class Replica(Table):
+    """State that lives at several nodes; off unless ``on``. All nodes of a cluster should have the same.
+
+    ``bans``: operators' bans go this way, and hold at once on both sides of a cut; else they are agreed on.
+    ``remember_s``: what was taken back is remembered for so long; a node may be cut off for less.
+    """
+
+    on: bool = False
+    bans: bool = False
+    rate_kib: Annotated[int, Meta(ge=16, le=1024 * 1024)] = 1024
+    remember_s: Annotated[float, Meta(ge=60, le=30 * 86400)] = 86400.0
+    stale_s: Annotated[float, Meta(ge=1, le=600)] = 3.0
+
+
 class Cluster(Table):
     """Agreement with other nodes on documents with versions; off without ``id``. Spans in seconds.
 
@@ -133,6 +152,7 @@
     stage_for_s: Annotated[float, Meta(ge=0.5, le=86400)] = 10.0
     worst_share: Annotated[float, Meta(ge=0, le=1)] = 0.1
     history: str = ""  # a file that is told of each version acted on
+    replica: Replica = msgspec.field(default_factory=Replica)
     rehearsal: Rehearsal = msgspec.field(default_factory=Rehearsal)
 
 
--- a/puffinpost/core.py
+++ b/puffinpost/core.py
@@ -254,6 +254,10 @@
     def _ban(self, server: api.ServerId, banned: bool, since_ns: int) -> None:
         self._give(lambda: api.Banned(server, banned, since_ns))
 
+    def heard(self, told: api.Heard) -> None:
+        """What other nodes say of transcribers and tenants is another than before."""
+        self._give(lambda: told)
+
     def takes_work(self, server: api.ServerId) -> bool:
         """Whether a transcriber may have anything new: discovery's last word, and the operators'."""
         return self.inventory.takes_work(server) and self.inventory.name(server) not in self.banned
--- a/puffinpost/decisions/memory.py
+++ b/puffinpost/decisions/memory.py
@@ -4,7 +4,7 @@
 
 from puffinpost.decisions.capacity import Capacity
 from puffinpost.decisions.window import Window
-from puffinpost.interface import Memory, ServerMemory
+from puffinpost.interface import Heard, Memory, ServerMemory
 
 
 def memory(capacity: Capacity, window: Window) -> Memory:
@@ -19,8 +19,27 @@
     )
 
 
-def remember(capacity: Capacity, window: Window, told: Memory) -> None:
+def hear(capacity: Capacity, told: Heard) -> None:
+    """Takes in what other balancers say. What this one has found out itself goes before.
+
+    A server that most others leave out is left out here too, unless something was placed there lately: then
+    its own answer will say.
+    """
+    books = capacity.books
+    books.shares.others = told.held
+    for it in told.servers:
+        server = books.servers.get(it.server)
+        if server is None:
+            continue
+        server.fills = server.fills or it.fills
+        if it.aside_ns and not server.placements:
+            server.aside_until = max(server.aside_until, books.now + it.aside_ns)
+
+
+def remember(capacity: Capacity, window: Window, told: Memory | Heard) -> None:
     """Takes over what another has learned. Of a server that has started since, its size holds."""
+    if isinstance(told, Heard):
+        return hear(capacity, told)
     books = capacity.books
     for it in told.servers:
         server = books.servers.get(it.server)
--- a/puffinpost/decisions/shares.py
+++ b/puffinpost/decisions/shares.py
@@ -21,15 +21,17 @@
 
     def __init__(self) -> None:
         self.held: Counter[int] = Counter()
+        self.others: tuple[float, ...] = ()  # what other balancers hold by tenant, where that is heard
 
     def over(self, tenant: int, tenants: tuple[Tenant, ...], balancers: int) -> bool:
         """Whether a tenant holds more than its share (``FamilyInfo.TenantQuotaConnections``, for all nodes).
 
-        An even slice swings by its root, as counts that come by chance do: one swing is allowed for. Without
-        tenants, or without a share in connections, nobody is over.
+        A slice swings by its root, as counts by chance do: one swing is allowed for. Where the others are
+        heard, all count against the whole. Without tenants or shares in connections nobody is over.
         """
-        part = tenants[tenant].quota_connections / balancers if tenant < len(tenants) else 0.0
-        return 0.0 < part + math.sqrt(part) < self.held[tenant]
+        quota = tenants[tenant].quota_connections if tenant < len(tenants) else 0.0
+        part, others = (quota, self.others[tenant]) if tenant < len(self.others) else (quota / balancers, 0.0)
+        return 0.0 < part + math.sqrt(part) < self.held[tenant] + others
 
 
 def worth_kept(klass: RequestClass, load: float, over_worth: float) -> float:
--- a/puffinpost/emulator/mesh/process.py
+++ b/puffinpost/emulator/mesh/process.py
@@ -18,6 +18,7 @@
 from puffinpost.agreement.messages import Ask, Propose
 from puffinpost.cluster.operator import AskError, ask, settled
 
+CONSOLE = 12_003  # the port of its console, on its own address
 ENDS_S = 10.0  # for a process to leave after SIGTERM
 Address = tuple[str, int]
 
@@ -77,6 +78,19 @@
         if not folder:
             shutil.rmtree(self.kept, ignore_errors=True)
 
+    def set_wall(self, off_ms: int) -> None:
+        """Its time of day is off by so much from now on."""
+        (self.folder / "wall-off").write_text(str(off_ms))
+
+    async def console(self, path: str, method: str = "POST") -> bytes:
+        """The first line of its console's answer."""
+        reader, writer = await asyncio.open_connection(self.front[0], CONSOLE)
+        writer.write(f"{method} {path} HTTP/1.1\r\nHost: console\r\n\r\n".encode())
+        try:
+            return await reader.readline()
+        finally:
+            writer.close()
+
     def fill(self) -> None:
         """Its disk is full: no file of this process may grow over what its store has already (EFBIG)."""
         assert self.child is not None
--- a/puffinpost/emulator/mesh/rig.py
+++ b/puffinpost/emulator/mesh/rig.py
@@ -18,15 +18,16 @@
 from puffinpost.emulator.mesh.clients import Clients
 from puffinpost.emulator.mesh.fabric import Fabric
 from puffinpost.emulator.mesh.history import Notes, read
-from puffinpost.emulator.mesh.process import Process
+from puffinpost.emulator.mesh.process import CONSOLE, Process
 from puffinpost.emulator.world import SETTINGS, Discovery, Transcriber
+from puffinpost.replica.topology import neighbours
 
 CLUSTER = "mesh"
 STEP_S = 0.05
 
 
 # Below the ports that the kernel deals out, on addresses that are this mesh's alone.
-CLAIM, INSIDE, FRONT, CONSOLE = 12_000, 12_001, 12_002, 12_003
+CLAIM, INSIDE, FRONT = 12_000, 12_001, 12_002
 
 
 def claimed() -> tuple[socket.socket, str]:
@@ -39,16 +40,19 @@
 
 
 class Rig:
-    """``extra``: lines for the ``[cluster]`` table of all; ``own``: for one node's rehearsal table."""
+    """``extra``: lines for the ``[cluster]`` table of all, ``replica``: for its table of replication,
+    ``own``: for one node's rehearsal table.
+    """
 
     def __init__(self, folder: Path, nodes: int, voters: int, seed: int = 1, within_s: float = 2.0,
                  extra: str = "", own: dict[str, str] | None = None, clustered: bool = True,
-                 settings: dict[str, dict[str, Any]] | None = None) -> None:
+                 settings: dict[str, dict[str, Any]] | None = None, replica: str = "") -> None:
         self.folder, self.seed, self.within_s = folder, seed, within_s
         self.names = [f"n{at}" for at in range(nodes)]
         self.voters = self.names[:voters]
         self.extra, self.own, self.clustered = extra, own or {}, clustered
         self.settings = settings or {}
+        self.replica = replica
         self.claim, part = claimed()
         self.hosts = {name: f"{part}.{1 + at // 200}.{1 + at % 200}" for at, name in enumerate(self.names)}
         self.inside = {name: (host, INSIDE) for name, host in self.hosts.items()}
@@ -90,6 +94,8 @@
             return ""
         plan = Plan(CLUSTER, name, tuple(self.names), tuple(self.voters), fanout=self._fanout())
         known = {name, *self.voters, *plan.sources()}
+        if self.replica:
+            known |= set(neighbours(name, self.names))
         members = []
         for other in self.names:
             # The place of a name in the row says whom it follows, so all are named. Those that it never
@@ -102,7 +108,8 @@
             "[cluster]", f'id = "{CLUSTER}"', f'listen = "{host}:{at}"', f"voters = {self.voters!r}",
             f'folder = "{folder / "kept"}"', f'history = "{folder / "history"}"',
             f"agree_within_s = {self.within_s}", self.extra, "[cluster.members]", *members,
-            "[cluster.rehearsal]", self.own.get(name, ""), "",
+            "[cluster.replica]", self.replica,
+            "[cluster.rehearsal]", f'wall_off_file = "{folder / "wall-off"}"', self.own.get(name, ""), "",
         ])
 
     def _fanout(self) -> int:
@@ -119,6 +126,25 @@
         told = await asyncio.gather(*(node.ask("status") for node in running))
         return {node.name: it for node, it in zip(running, told, strict=True) if it}
 
+    async def replicas(self) -> dict[str, dict[str, Any]]:
+        """Each running node's copies, as it says."""
+        running = [node for node in self.nodes.values() if node.running]
+        told = await asyncio.gather(*(node.ask("replica") for node in running))
+        return {node.name: it for node, it in zip(running, told, strict=True) if it}
+
+    async def until_equal(self, within_s: float) -> float:
+        """Waits until all that run have the same copies, and have settled; how long that took, in s."""
+        began = time.monotonic()
+
+        async def equal() -> bool:
+            running = {name for name, node in self.nodes.items() if node.running}
+            told = await self.replicas()
+            pictures = {str([(it["node"], it["life"], it["seq"], it["check"]) for it in each["copies"]])
+                        for each in told.values()}
+            return set(told) == running and len(pictures) == 1 and all(it["settled"] for it in told.values())
+        await self.until(equal, within_s, "equal copies")
+        return time.monotonic() - began
+
     async def leader(self) -> str:
         """Who leads, as itself says; waits for one."""
         async def led() -> str:
--- a/puffinpost/interface.py
+++ b/puffinpost/interface.py
@@ -222,6 +222,25 @@
     called: tuple[ServerId, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class HeardServer:
+    """What other balancers have learned of a server. ``fills``: 0: nothing; ``aside_ns``: most leave it out.
+    """
+
+    server: ServerId
+    fills: float
+    aside_ns: int
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """What the other balancers say, where they may talk. ``held``: theirs by tenant; empty: it is not known.
+    """
+
+    servers: tuple[HeardServer, ...] = ()
+    held: tuple[float, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Retuned:
     """New settings are in force. A class that was there has its index still."""
@@ -327,7 +346,7 @@
 
 
 Event: TypeAlias = (
-    ServerList | Banned | Retuned | Memory | Request | Inherited | Established | Outcome | ClientGone
+    ServerList | Banned | Retuned | Memory | Heard | Request | Inherited | Established | Outcome | ClientGone
     | TimerDue | ProbeResult | LoadNote | DelayNote | LineOwed
 )
 
--- a/puffinpost/rules.py
+++ b/puffinpost/rules.py
@@ -20,8 +20,8 @@
 from puffinpost.decisions.window import Window
 from puffinpost.following.asking import Asking
 from puffinpost.interface import (
-    Action, Banned, ClientGone, DelayNote, Established, Event, Inherited, LineOwed, ListKind, LoadNote, Log,
-    Memory, Outcome, ProbeResult, Request, Retuned, ServerList, Settings, Subscribe, Timer, TimerDue,
+    Action, Banned, ClientGone, DelayNote, Established, Event, Heard, Inherited, LineOwed, ListKind, LoadNote,
+    Log, Memory, Outcome, ProbeResult, Request, Retuned, ServerList, Settings, Subscribe, Timer, TimerDue,
 )
 
 TICK_TOKEN = 0
@@ -79,7 +79,7 @@
                 books.tune(settings)
                 self.capacity.tune()
                 self.asking.tune(settings)
-            case Memory():
+            case Memory() | Heard():
                 remember(self.capacity, self.window, event)
             case ClientGone():
                 self.life.on_client_gone(event)
--- a/puffinpost/wiring/agreed.py
+++ b/puffinpost/wiring/agreed.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     from puffinpost.wiring.node import Node
+    from puffinpost.wiring.replicated import Replicated
 
 SETTINGS, BANS, LIST = "settings", merging.BANS, merging.LIST
 OTHERS_S = 0.3  # a voter that does not lead leaves it to the leader to tell what discovery said, for so long
@@ -50,11 +51,17 @@
         self.base = node.config  # what the node's own file says
         self.history = History(told.history, told.plan.name)
         try:
-            self.cluster = Cluster(told, node.config.seed, self.check, self.change, node.counters.add)
+            self.cluster = Cluster(told, node.config.seed, self.check, self.change, node.counters.add,
+                                   self._replicated)
         except StoreError as problem:
             raise config.ConfigError(f"cluster.folder: {problem}") from None
         self.answer: dict[str, Any] = {}  # discovery's last one here
         self.was_current = False
+        self.shared: Replicated | None = None
+        if self.cluster.replica is not None:
+            from puffinpost.wiring.replicated import Replicated
+
+            self.shared = Replicated(node, self, self.cluster.replica)
         self.cluster.recall()
         node.core.gate = self
         node.core.on_end.append(self._ended)
@@ -63,6 +70,8 @@
         """Begins to talk."""
         self.history.note("up")
         self.cluster.start()
+        if self.shared is not None:
+            self.shared.start()
         self._look()
 
     async def stop(self) -> None:
@@ -84,6 +93,8 @@
                 self.history.note("act", doc=name, number=version.number, hash=version.hash,
                                   shared=document.number(), ident=version.ident)
         self.history.note("sent", ident=server)
+        if self.shared is not None:
+            self.shared.sent(server)
 
     def _ended(self, ended: Ended) -> None:
         self.cluster.member.counts.add(ended.answer in ("refused", "failed"))
@@ -108,7 +119,7 @@
         if doc == SETTINGS:
             node.config = config.with_shared(self.base, version.content)
             node.core.retune(node.config.settings, node.config.classes, node.config.closed)
-        elif doc == BANS:
+        elif doc == BANS and not (self.shared is not None and self.shared.bans):
             self.ban({str(name): int(since) for name, since in version.content.items()})
         elif doc == LIST:
             self._list()
@@ -128,9 +139,15 @@
 
     def banned(self, name: str, since_ns: int | None) -> str:
         """Operators ban a transcriber at this console, or call it back: a proposal to all, its ident."""
+        if self.shared is not None and self.shared.bans:
+            return self.shared.ban(name, since_ns)
         change = {"lift": [name]} if since_ns is None else {"ban": {name: since_ns}}
         return self.propose(BANS, change, f"{'call back' if since_ns is None else 'ban'} {name}")
 
+    def _replicated(self, places: set[tuple[str, str]]) -> None:
+        if self.shared is not None:
+            self.shared.changed(places)
+
     # --- the list ---------------------------------------------------------------------------------------
 
     def reads(self) -> bool:
--- /dev/null
+++ b/puffinpost/wiring/replicated.py
@@ -0,0 +1,140 @@
+"""What a node tells others of what it sees and holds, and what it does with their word. Loaded only where
+``[cluster.replica]`` is on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from puffinpost import interface as api
+from puffinpost import log
+from puffinpost.cluster.replica import Replica
+from puffinpost.replica import kinds
+from puffinpost.replica.kinds import BAN, LIFE, SEEN, SENDS, USE, Ban, Seen, Sends, Use
+from puffinpost.replica.told import Telling
+
+if TYPE_CHECKING:
+    from puffinpost.wiring.agreed import Agreed
+    from puffinpost.wiring.node import Node
+
+SHARE_S = 0.25  # between two looks at what is worth telling
+NS, MS = 1_000_000_000, 1_000_000
+LOAD, REHEARSE_S = "@load", 0.02
+
+
+class Replicated:
+    """The node's part. ``bans``: operators' bans go this way."""
+
+    def __init__(self, node: Node, agreed: Agreed, replica: Replica) -> None:
+        self.node, self.agreed, self.replica = node, agreed, replica
+        self.bans = agreed.told.replica.bans
+        self.stale_ns = int(agreed.told.replica.stale_s * NS)
+        self.telling = Telling(self.stale_ns // 3)
+        self.sends: Counter[str] = Counter()
+        self.heard: api.Heard | None = None
+
+    def start(self) -> None:
+        """Begins to tell, with what was on disk in force."""
+        for name in self.node.core.banned:
+            self.agreed.history.note("bans", ident=name)
+        if self.bans:
+            self._ban()
+        self._share()
+        if self.agreed.told.writes_per_s:
+            self._rehearse(self.replica.clock(), 0)
+
+    def _rehearse(self, began: int, written: int) -> None:
+        """For rehearsals: so many writes a second, whatever the timer does."""
+        told = self.agreed.told
+        due = int((self.replica.clock() - began) / NS * told.writes_per_s)
+        for at in range(written, due):
+            self.replica.write(LOAD, f"{at % told.places:06}", Sends(1, at))
+        asyncio.get_running_loop().call_later(REHEARSE_S, self._rehearse, began, due)
+
+    # --- what this node tells -----------------------------------------------------------------------
+
+    def sent(self, server: str) -> None:
+        """Something new went to a transcriber."""
+        self.sends[server] += 1
+
+    def _share(self) -> None:
+        asyncio.get_running_loop().call_later(SHARE_S, self._share)
+        core, member = self.node.core, self.replica.member
+        books = core.balancer.books
+        now = member.now = self.replica.clock()
+        for it in core.balancer.memory().servers:
+            name = core.inventory.name(it.server)
+            weight = float(self.sends[name])
+            seen = Seen(it.started_ns, round(it.fills, 1), max(0, it.aside_until - core.clock.now()) // MS,
+                        books.servers[it.server].silence.given_up, weight)
+            if self.telling.seen(name, seen, now):
+                self.replica.write(SEEN, name, seen)
+            sends = Sends(it.started_ns, self.sends[name])
+            if self.telling.sends(name, sends, now):
+                self.replica.write(SENDS, name, sends)
+        tenants = range(len(core.settings.tenants))
+        use = Use(tuple(books.shares.held[tenant] for tenant in tenants))
+        if tenants and self.telling.use(use, now):
+            self.replica.write(USE, self.node.config.name, use)
+        self._hear()
+
+    # --- what it hears ------------------------------------------------------------------------------
+
+    def changed(self, places: set[tuple[str, str]]) -> None:
+        """Other rows stand there now."""
+        if self.bans and any(kind in (BAN, LIFE) for kind, _ in places):
+            self._ban()
+
+    def _ban(self) -> None:
+        """Who is banned. Until this life has heard the others, what stood at its start stands; and where
+        nothing was ever replicated here before, that is this node's word from then on.
+        """
+        member = self.replica.member
+        said = {key: kinds.ban(member.state.rows(kind, key))
+                for kind, key in list(member.state.places) if kind == BAN}
+        names = {key: ban.since_ns for key, ban in said.items() if ban is not None}
+        if not member.settled:
+            names |= {key: at for key, at in self.node.core.banned.items() if key not in said}
+        elif self.replica.first:
+            self.replica.first = False
+            for key in self.node.core.banned.keys() - said.keys():
+                names[key] = self.node.core.banned[key]
+                self.replica.write(BAN, key, Ban(names[key], self.node.config.name, "banned before"))
+        if names != self.node.core.banned:
+            for name in sorted(names.keys() ^ self.node.core.banned.keys()):
+                self.agreed.history.note("bans" if name in names else "lifts", ident=name)
+            self.agreed.ban(names)
+            log.say(f"replica: banned are {', '.join(sorted(names)) or 'none'}")
+
+    def _hear(self) -> None:
+        """The decisions are told what the others say, where it is other than before."""
+        core, member = self.node.core, self.replica.member
+        state, me, wall = member.state, member.plan.name, self.replica.wall()
+        servers = []
+        for it in core.balancer.books.servers.values():
+            rows = state.rows(SEEN, core.inventory.name(it.id))
+            known = kinds.known(rows, me, it.started_ns, wall)
+            if known.fills or known.aside_ms or known.silent:
+                servers.append(api.HeardServer(it.id, known.fills, known.aside_ms * MS))
+        uses = {origin: row for (kind, key), rows in state.places.items() if kind == USE
+                for origin, row in rows.items()}
+        held, _ = kinds.held(uses, me, member.fresh(self.stale_ns), core.settings.balancers)
+        heard = api.Heard(tuple(servers), held)
+        if heard != self.heard:
+            self.heard = heard
+            core.heard(heard)
+
+    # --- operators ----------------------------------------------------------------------------------
+
+    def ban(self, name: str, since_ns: int | None) -> str:
+        """Operators ban a transcriber at this console, or call it back: in force here at once, and everywhere
+        as the news come there.
+        """
+        told = Ban(since_ns or 0, self.node.config.name, "ban" if since_ns else "call back")
+        self.replica.write(BAN, name, told)
+        self._ban()
+        log.say(f"replica: {told.why} {name}, here from now on")
+        return f"{told.by}-{time.time_ns():x}"
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -18,7 +18,7 @@
 from puffinpost.emulator.mesh.checker import Breach, check
 from puffinpost.emulator.mesh.history import read, write
 from puffinpost.emulator.mesh.play import Played, play
-from puffinpost.emulator.mesh.rig import CLUSTER, CONSOLE, Rig
+from puffinpost.emulator.mesh.rig import CLUSTER, Rig
 from puffinpost.emulator.mesh.scenario import ScenarioError, load, parse
 
 STEP = '[[step]]\nat_s = {0}\ndo = "{1}"\nnode = "{2}"\nfor_s = {3}\n'
@@ -286,10 +286,7 @@
             contents = [(it.get("active") or {}).get("content", {}) for it in documents]
             return all(it.get("Limits", {}).get("AttemptsCap") == 2 for it in contents)
         await rig.until(shared, 20, "file of one node at all")
-        reader, writer = await asyncio.open_connection(node.front[0], CONSOLE)
-        writer.write(b"POST /transcribers/disable/s-0 HTTP/1.1\r\nHost: console\r\n\r\n")
-        assert b" 202 " in await reader.readline()
-        writer.close()
+        assert b" 202 " in await node.console("/transcribers/disable/s-0")
 
         async def banned() -> bool:
             documents = [await it.ask("document", "bans") for it in rig.nodes.values()]
--- /dev/null
+++ b/tests/test_replica_mesh.py
@@ -0,0 +1,367 @@
+"""Processes of the program that keep each other's state, with faults between them."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import signal
+import socket
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+from click.testing import CliRunner
+
+from puffinpost.cli.main import puffinpost
+from puffinpost.cluster.replica_store import ReplicaStore
+from puffinpost.emulator.mesh.process import Process
+from puffinpost.emulator.mesh.rig import Rig
+from puffinpost.replica.kinds import BAN, Ban, encoded
+from puffinpost.replica.messages import Mark
+from puffinpost.replica.rows import Origin, made
+from puffinpost.replica.stamps import Stamp
+from puffinpost.replica.copies import Changes
+
+ON = "on = true\nbans = true"
+NODES = 5
+
+
+def on_mesh(tmp_path: Path, story: Callable[[Rig], Awaitable[None]], nodes: int = NODES, **told: Any) -> None:
+    """Starts processes that replicate, lets a story happen on them, and ends them."""
+    start = {"per_s": 5.0, "transcribers": 3, **told.pop("start", {})}
+    rig = Rig(tmp_path, nodes, 3, **{"replica": ON, **told})
+
+    async def run() -> None:
+        try:
+            await rig.start(**start)
+            if not rig.own:
+                await rig.until_equal(20)
+            await story(rig)
+            assert await rig.checked() == []
+        finally:
+            await rig.close()
+    asyncio.run(run())
+
+
+async def ban(rig: Rig, name: str, server: str, banned: bool = True) -> None:
+    said = await rig.nodes[name].console(f"/transcribers/{'disable' if banned else 'enable'}/{server}")
+    assert b" 202 " in said
+
+
+async def held(rig: Rig, name: str) -> dict[str, list[bool]]:
+    """What a node has of bans: by transcriber, whether each word on it stands."""
+    rows: list[dict[str, Any]] = list(await rig.nodes[name].ask("replica", "ban"))  # type: ignore[arg-type]
+    found: dict[str, list[bool]] = {}
+    for row in rows:
+        found.setdefault(row["key"], []).append(not row["taken_back"])
+    return found
+
+
+def in_force(rig: Rig) -> dict[str, set[str]]:
+    """By node, who is banned there now, by its own history."""
+    found: dict[str, set[str]] = {name: set() for name in rig.names}
+    for it in rig.events():
+        if it.kind == "up":
+            found[it.node] = set()
+        elif it.kind == "bans":
+            found[it.node].add(it.ident)
+        elif it.kind == "lifts":
+            found[it.node].discard(it.ident)
+    return found
+
+
+async def until_banned(rig: Rig, wanted: set[str], names: list[str] | None = None,
+                       within_s: float = 5) -> float:
+    began = time.monotonic()
+
+    async def so() -> bool:
+        now = in_force(rig)
+        return all(now[name] == wanted for name in names or rig.names)
+    await rig.until(so, within_s, f"bans of {wanted}, but {in_force(rig)}")
+    return time.monotonic() - began
+
+
+def test_both_sides_of_a_cut_go_on_and_the_last_word_holds_at_all_soon_after(tmp_path: Path) -> None:
+    async def story(rig: Rig) -> None:
+        await ban(rig, "n0", "s-0")
+        await until_banned(rig, {"s-0"})
+        rig.fault("n0", "cut")
+        rig.fabric.cut(["n0", "n1"], ["n2", "n3", "n4"])
+        await ban(rig, "n1", "s-1")
+        await ban(rig, "n4", "s-2")
+        await ban(rig, "n3", "s-0", banned=False)  # lifted on one side, still banned on the other
+        await until_banned(rig, {"s-0", "s-1"}, ["n0", "n1"])
+        await until_banned(rig, {"s-2"}, ["n2", "n3", "n4"])
+        await asyncio.sleep(8)
+        await ban(rig, "n0", "s-2")  # both say it
+        rig.fabric.rules.heal()
+        assert await until_banned(rig, {"s-1", "s-2"}) < 4.0
+        await rig.until_equal(5)
+        await rig.until_sure(10)
+    on_mesh(tmp_path, story, extra='on_lost = "keep"')
+
+
+def test_a_node_comes_back_with_its_folder_without_it_and_with_an_old_one(tmp_path: Path) -> None:
+    async def story(rig: Rig) -> None:
+        node = rig.nodes["n4"]
+        await ban(rig, "n4", "s-0")
+        await until_banned(rig, {"s-0"})
+        lives = []
+        for how in ("folder", "none", "old"):
+            rig.fault("n4", f"kill, {how}")
+            node.kill()
+            if how == "folder":
+                shutil.copytree(node.kept, tmp_path / "copy")
+            elif how == "none":
+                shutil.rmtree(node.kept)
+            else:
+                shutil.rmtree(node.kept)
+                shutil.copytree(tmp_path / "copy", node.kept)
+            await ban(rig, "n1", "s-1", banned=how != "none")
+            node.start()
+            await rig.until_sure(20)
+            await rig.until_equal(10)
+            await until_banned(rig, {"s-0"} if how == "none" else {"s-0", "s-1"})
+            lives.append((await rig.replicas())["n4"]["life"])
+        assert lives == sorted(set(lives))  # each start is a life of its own, and the last is the later one
+        copies = (await rig.replicas())["n0"]["copies"]
+        assert [it["life"] for it in copies if it["node"] == "n4"] == lives[-1:]
+    on_mesh(tmp_path, story)
+
+
+def test_a_node_killed_again_and_again_while_it_catches_up_has_it_all_in_the_end(tmp_path: Path) -> None:
+    async def story(rig: Rig) -> None:
+        node = rig.nodes["n4"]
+        node.kill(folder=False)
+
+        async def written() -> bool:
+            return bool((await rig.replicas())["n0"]["places"].get("@load", 0) >= 3000)
+        await rig.until(written, 60, "rows to catch up with")
+        sizes: list[int] = []
+        for _ in range(4):  # 64 KiB a second of each of four: some seconds' worth
+            node.start()
+
+            async def more() -> Any:
+                told = (await rig.replicas()).get("n4", {"copies": []})
+                rows = sum(it["rows"] for it in told["copies"])
+                return rows > (sizes[-1] if sizes else 0) + 300 and rows
+            sizes.append(await rig.until(more, 20, "rows"))
+            rig.fault("n4", "kill")
+            node.kill()
+        assert sizes == sorted(sizes)  # what had come is kept, but for what was not on disk yet
+        node.start()
+        await rig.until_sure(20)
+
+        async def near() -> bool:
+            told = await rig.replicas()
+            return len({it["places"].get("@load") for it in told.values()}) == 1
+        await rig.until(near, 60, "all of it")
+    own = {"n0": "writes_per_s = 500\nplaces = 3000"}
+    on_mesh(tmp_path, story, own=own, replica=ON + "\nrate_kib = 64", start={"per_s": 2.0})
+
+
+def test_a_stopped_node_and_one_that_reads_a_byte_a_second_hold_up_nobody(tmp_path: Path) -> None:
+    async def story(rig: Rig) -> None:
+        rig.fault("n4", "stop")
+        rig.nodes["n4"].stop()
+        rig.fault("n3", "slow")
+        for other in rig.names:
+            rig.fabric.slow(other, "n3", 0.0, rate=1.0)
+        for server in ("s-0", "s-1"):
+            await ban(rig, "n0", server)
+        assert await until_banned(rig, {"s-0", "s-1"}, ["n0", "n1", "n2"]) < 2.0
+        await asyncio.sleep(3)
+        rig.nodes["n4"].go_on()
+        await until_banned(rig, {"s-0", "s-1"}, ["n4"])
+        rig.fabric.rules.heal()
+        for other in rig.names:  # what is in the slow link's pipe would take hours yet
+            rig.fabric.drop(other, "n3")
+        await until_banned(rig, {"s-0", "s-1"}, within_s=15)
+        await rig.until_equal(10)
+    on_mesh(tmp_path, story, extra='on_lost = "keep"')
+
+
+def test_a_clock_ten_seconds_ahead_and_one_that_steps_back_keep_the_order_of_words(tmp_path: Path) -> None:
+    async def story(rig: Rig) -> None:
+        rig.nodes["n0"].set_wall(10_000)
+        await ban(rig, "n0", "s-0")
+        await until_banned(rig, {"s-0"})
+        await ban(rig, "n1", "s-0", banned=False)  # it has seen the word from the future: its own is later
+        await until_banned(rig, set())
+        rig.nodes["n0"].set_wall(-10_000)
+        await ban(rig, "n0", "s-0")
+        await until_banned(rig, {"s-0"})
+        rig.nodes["n2"].set_wall(3_600_000)  # an hour ahead: its word holds nowhere else
+        await ban(rig, "n2", "s-1")
+        await until_banned(rig, {"s-0", "s-1"}, ["n2"])
+        await ban(rig, "n3", "s-2")
+        await until_banned(rig, {"s-0", "s-2"}, ["n0", "n1", "n3", "n4"])
+    on_mesh(tmp_path, story)
+
+
+def test_a_full_disk_keeps_nobody_from_hearing_and_is_made_up_for(tmp_path: Path) -> None:
+    async def story(rig: Rig) -> None:
+        node = rig.nodes["n4"]
+        node.fill()
+        rig.fault("n4", "disk full")
+        for server in ("s-0", "s-1"):
+            await ban(rig, "n4", server)
+        await until_banned(rig, {"s-0", "s-1"})
+        assert await asyncio.to_thread(logged, node, "replica: ", 10.0)
+        node.room()
+        await ban(rig, "n0", "s-2")
+        await until_banned(rig, {"s-0", "s-1", "s-2"})
+
+        async def on_disk() -> bool:
+            store = ReplicaStore(node.kept, lambda why: None)
+            try:
+                return {row.key for _, row in store.read()[1] if row.kind == BAN} == {"s-0", "s-1", "s-2"}
+            finally:
+                store.close()
+        await rig.until(on_disk, 10, "rows on its disk")
+    on_mesh(tmp_path, story, extra='on_lost = "keep"')
+
+
+def logged(node: Process, words: str, within_s: float) -> bool:
+    end = time.monotonic() + within_s
+    while time.monotonic() < end:
+        if words in (node.folder / "log").read_text():
+            return True
+        time.sleep(0.05)
+    return False
+
+
+def test_a_rolling_restart_under_load_loses_no_word(tmp_path: Path) -> None:
+    async def story(rig: Rig) -> None:
+        await ban(rig, "n0", "s-0")
+        await until_banned(rig, {"s-0"})
+        for name in rig.names:
+            rig.fault(name, "end")
+            assert await rig.nodes[name].end() == 0
+            rig.nodes[name].start()
+            await rig.until_sure(20)
+        await rig.until_equal(20)
+        await until_banned(rig, {"s-0"})
+        assert rig.clients is not None
+        assert sum(count for (_, word), count in rig.clients.answers.items() if word == "UP") > 100
+    on_mesh(tmp_path, story, start={"per_s": 10.0})
+
+
+def test_of_two_processes_of_one_name_the_one_that_the_file_leads_to_goes_on(tmp_path: Path) -> None:
+    async def story(rig: Rig) -> None:
+        first = rig.nodes["n4"]
+        told = orjson.loads((first.folder / "config.json").read_bytes())
+        host = "127.0.0.1"
+        told["listen"] = f"{host}:{_free()}"
+        del told["console"]
+        operators = (first.folder / "edge.toml").read_text()
+        operators = operators.replace(str(first.folder), str(tmp_path / "twin"))
+        lines = [f'listen = "{host}:{_free()}"' if it.startswith("listen = ") else it
+                 for it in operators.splitlines()]
+        lines += ["writes_per_s = 5", "places = 5"]
+        twin = Process("n4", tmp_path / "twin", told, "\n".join(lines), first.cluster, (host, 1))
+        twin.start()
+        try:
+            async def noticed() -> bool:
+                first.signal(signal.SIGUSR1)
+                return await asyncio.to_thread(logged, first, "replica_same_name", 0.5)
+            await rig.until(noticed, 20, "word of another of its name")
+            await ban(rig, "n0", "s-0")
+            await ban(rig, "n4", "s-1")
+            await until_banned(rig, {"s-0", "s-1"})
+            assert twin.running and first.running
+        finally:
+            twin.kill()
+    on_mesh(tmp_path, story)
+
+
+def _free() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        return int(taken.getsockname()[1])
+
+
+def test_operators_look_at_copies_and_see_where_two_differ(tmp_path: Path) -> None:
+    async def story(rig: Rig) -> None:
+        runner = CliRunner()
+        files = {name: str(rig.nodes[name].folder / "edge.toml") for name in rig.names}
+
+        async def call(*words: str, name: str = "n0") -> tuple[int, str]:
+            environ = {"GW_EDGE": files[name], "GW_NAME": name}
+            told = await asyncio.to_thread(runner.invoke, puffinpost, ["replica", *words], env=environ)
+            return told.exit_code, told.output
+        if rig.clients is not None:
+            await rig.clients.close()
+        await rig.until_equal(5)
+        assert "neighbour n1" in (await call("show"))[1]
+        assert (await call("diff", files["n0"], files["n4"])) == (0, "the copies are equal\n")
+        rig.fault("n4", "cut")
+        rig.fabric.cut(["n4"], rig.names)
+        await ban(rig, "n0", "s-0")
+        code, text = await call("diff", files["n0"], files["n4"])
+        assert code == 1 and "only n0: " in text and "ban s-0" in text
+        assert '"key": "s-0"' in (await call("show", "ban"))[1]
+        rig.fabric.rules.heal()
+        await rig.until_equal(10)
+    on_mesh(tmp_path, story, nodes=5, extra='on_lost = "keep"')
+
+
+# --- disk -----------------------------------------------------------------------------------------------
+
+def small(folder: Path) -> tuple[ReplicaStore, Origin]:
+    folder.mkdir(exist_ok=True)
+    store, origin = ReplicaStore(folder, lambda why: None), Origin("a", 1)
+    rows = [made(origin, at, BAN, f"s-{at}", Stamp(at, 0, "a"), encoded(Ban(at))) for at in (1, 2, 3)]
+    store.write(Changes([(origin, row) for row in rows]), {origin: Mark(origin, 3, 0)})
+    return store, origin
+
+
+def test_each_flipped_bit_of_a_value_is_found_where_it_stands(tmp_path: Path) -> None:
+    from puffinpost.replica.state import State
+    store, origin = small(tmp_path / "a")
+    (kept,) = store._base.execute("SELECT row FROM rows WHERE seq = 2").fetchone()
+    for at in range(8 * len(kept)):
+        spoilt = bytearray(kept)
+        spoilt[at // 8] ^= 1 << at % 8
+        store._base.execute("UPDATE rows SET row = ? WHERE seq = 2", (bytes(spoilt),))
+        here = State(lambda row: True, lambda what: None)
+        here.recall(*store.read())
+        assert here.holes() == {origin: {2}} and set(here.copies[origin].order) == {1, 3}
+    store._base.execute("UPDATE marks SET seq = 9")
+    assert store.read() == ([], [])  # what is here is not known: all of it is asked for again
+
+
+@pytest.mark.parametrize("step", [1024])
+def test_a_file_that_is_cut_anywhere_is_whole_or_set_aside(tmp_path: Path, step: int) -> None:
+    store, origin = small(tmp_path / "a")
+    store._base.execute("PRAGMA wal_checkpoint(TRUNCATE)")
+    store.close()
+    whole = (tmp_path / "a" / "replica.sqlite").read_bytes()
+    for size in range(0, len(whole), step):
+        folder = tmp_path / f"cut-{size}"
+        folder.mkdir()
+        (folder / "replica.sqlite").write_bytes(whole[:size])
+        aside: list[str] = []
+        again = ReplicaStore(folder, aside.append)
+        marks, rows = again.read()
+        assert (marks, len(rows)) in (([], 0), ([Mark(origin, 3, 0)], 3))
+        assert aside or size == 0 or rows
+        again.close()
+
+
+def test_a_commit_cut_off_by_a_kill_is_whole_or_not_there(tmp_path: Path) -> None:
+    store, origin = small(tmp_path / "a")
+    log = (tmp_path / "a" / "replica.sqlite-wal").read_bytes()
+    base = (tmp_path / "a" / "replica.sqlite").read_bytes()
+    for size in range(0, len(log) + 1, 997):  # the log's tail is torn at each place
+        folder = tmp_path / f"torn-{size}"
+        folder.mkdir()
+        (folder / "replica.sqlite").write_bytes(base)
+        (folder / "replica.sqlite-wal").write_bytes(log[:size])
+        again = ReplicaStore(folder, lambda why: None)
+        marks, rows = again.read()
+        assert (marks, len(rows)) in (([], 0), ([Mark(origin, 3, 0)], 3))
+        again.close()
+    store.close()
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -113,6 +113,38 @@
     assert of(node.ask(tenant=0), api.Send) != []
 
 
+class Heard(Fleet):
+    """The same nodes, each of which hears twice a second what the others hold."""
+
+    def second(self, arrivals: dict[int, int], groups: int = 1) -> None:
+        super().second(arrivals, groups)
+        held = [node.balancer.books.shares.held for node in self.nodes]
+        for number, node in enumerate(self.nodes):
+            others = tuple(float(sum(it[tenant] for at, it in enumerate(held) if at != number))
+                           for tenant in range(len(TENANTS)))
+            node.give(api.Heard((), others))
+
+
+def test_who_comes_to_one_node_alone_has_its_whole_share_where_the_others_are_heard() -> None:
+    stood = []
+    for fleet in (Fleet(SHARED, 1), Heard(SHARED, 1)):
+        fleet.chance.randrange = lambda *told: 0 if told == (NODES,) else 1  # type: ignore[method-assign]
+        for _ in range(12):
+            fleet.second({0: 9, 1: 5})  # all to the first node: 50 of 60 and 90, for 100 places
+        stood.append(fleet.stood[1])
+    assert stood[1] == 60 and stood[0] < 50  # taken for over at 15 of its 60 otherwise
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_flood_over_its_share_gives_way_no_less_where_the_others_are_heard(seed: int) -> None:
+    calm, flood = Heard(SHARED, seed), Heard(SHARED, seed)
+    for second in range(20):
+        calm.second({0: 5, 1: 5})
+        flood.second({0: 5, 1: 30 if 5 <= second < 15 else 5})
+    assert flood.stood[0] > calm.stood[0] - 0.05 * 100
+    assert 1.15 * calm.stood[1] < flood.stood[1] < 300
+
+
 def placed(settings: api.Settings, seed: int) -> Fleet:
     fleet = Fleet(settings, seed)
     for _ in range(8):
