--- a/puffinpost/cluster/replica.py
+++ b/puffinpost/cluster/replica.py
@@ -54,13 +54,17 @@
 
     def wall(self) -> int:
         """The time of day, in ms."""
-        off = 0
-        if self.told.wall_off_file is not None:
-            try:
-                off = int(self.told.wall_off_file.read_text())
-            except (OSError, ValueError):
-                off = 0
-        return time.time_ns() // 1_000_000 + off
+        off = self.knob("wall-off")
+        return time.time_ns() // 1_000_000 + int(off[0] if off else 0)
+
+    def knob(self, name: str) -> list[float]:
+        """What a rehearsal has turned; nothing in service."""
+        if self.told.knobs is None:
+            return []
+        try:
+            return [float(it) for it in (self.told.knobs / name).read_text().split()]
+        except (OSError, ValueError):
+            return []
 
     def start(self, hello: Callable[[], Any]) -> None:
         """Introduces itself to its neighbours."""
--- a/puffinpost/config/cluster.py
+++ b/puffinpost/config/cluster.py
@@ -27,9 +27,7 @@
     history: Path | None
     clock_rate: float
     replica: schema.Replica
-    wall_off_file: Path | None = None
-    writes_per_s: float = 0.0
-    places: int = 1
+    knobs: Path | None = None
 
 
 def make(table: schema.Cluster) -> ClusterConfig:
@@ -52,8 +50,7 @@
     return ClusterConfig(
         plan, listen, members, Path(table.folder) if table.folder else None,
         Path(table.history) if table.history else None, table.rehearsal.clock_rate, table.replica,
-        Path(table.rehearsal.wall_off_file) if table.rehearsal.wall_off_file else None,
-        table.rehearsal.writes_per_s, table.rehearsal.places,
+        Path(table.rehearsal.knobs) if table.rehearsal.knobs else None,
     )
 
 
--- a/puffinpost/config/schema.py
+++ b/puffinpost/config/schema.py
@@ -106,14 +106,12 @@
 
 
 class Rehearsal(Table):
-    """For rehearsals alone: a clock that runs fast or slow, a time of day that is off by what stands in a
-    file (ms), and faults planted in this node.
+    """For rehearsals alone: a clock that runs fast or slow, faults planted in this node, and what may be
+    turned while it runs: how far its time of day is off, and what it writes into replicated state.
     """
 
     clock_rate: Annotated[float, Meta(ge=0.9, le=1.1)] = 1.0
-    wall_off_file: str = ""
-    writes_per_s: Annotated[float, Meta(ge=0, le=20000)] = 0.0  # replicated rows of no meaning, over ...
-    places: Annotated[int, Meta(ge=1, le=200000)] = 1000  # ... so many places
+    knobs: str = ""  # a folder; in it `wall-off`: ms, and `writes`: rows of no meaning a second, and places
     faults: list[Literal["stale_read", "lost_version", "lease_ignored"]] = msgspec.field(default_factory=list)
 
 
--- a/puffinpost/emulator/mesh/process.py
+++ b/puffinpost/emulator/mesh/process.py
@@ -82,6 +82,10 @@
         """Its time of day is off by so much from now on."""
         (self.folder / "wall-off").write_text(str(off_ms))
 
+    def set_writes(self, per_s: float, places: int) -> None:
+        """It writes so many rows of no meaning a second into replicated state from now on."""
+        (self.folder / "writes").write_text(f"{per_s} {places}")
+
     async def console(self, path: str, method: str = "POST") -> bytes:
         """The first line of its console's answer."""
         reader, writer = await asyncio.open_connection(self.front[0], CONSOLE)
--- a/puffinpost/emulator/mesh/rig.py
+++ b/puffinpost/emulator/mesh/rig.py
@@ -109,7 +109,7 @@
             f'folder = "{folder / "kept"}"', f'history = "{folder / "history"}"',
             f"agree_within_s = {self.within_s}", self.extra, "[cluster.members]", *members,
             "[cluster.replica]", self.replica,
-            "[cluster.rehearsal]", f'wall_off_file = "{folder / "wall-off"}"', self.own.get(name, ""), "",
+            "[cluster.rehearsal]", f'knobs = "{folder}"', self.own.get(name, ""), "",
         ])
 
     def _fanout(self) -> int:
--- a/puffinpost/wiring/replicated.py
+++ b/puffinpost/wiring/replicated.py
@@ -35,6 +35,7 @@
         self.telling = Telling(self.stale_ns // 3)
         self.sends: Counter[str] = Counter()
         self.heard: api.Heard | None = None
+        self.rehearsed = 0
 
     def start(self) -> None:
         """Begins to tell, with what was on disk in force."""
@@ -43,16 +44,19 @@
         if self.bans:
             self._ban()
         self._share()
-        if self.agreed.told.writes_per_s:
-            self._rehearse(self.replica.clock(), 0)
-
-    def _rehearse(self, began: int, written: int) -> None:
-        """For rehearsals: so many writes a second, whatever the timer does."""
-        told = self.agreed.told
-        due = int((self.replica.clock() - began) / NS * told.writes_per_s)
-        for at in range(written, due):
-            self.replica.write(LOAD, f"{at % told.places:06}", Sends(1, at))
-        asyncio.get_running_loop().call_later(REHEARSE_S, self._rehearse, began, due)
+        if self.agreed.told.knobs is not None:
+            self._rehearse(self.replica.clock(), 0.0)
+
+    def _rehearse(self, before: int, owed: float) -> None:
+        """For rehearsals: so many writes a second over so many places, whatever the timer does."""
+        now, turned = self.replica.clock(), self.replica.knob("writes")
+        rate, places = turned if len(turned) == 2 else (0.0, 1.0)
+        owed += (now - before) / NS * rate
+        while owed >= 1.0:
+            owed -= 1.0
+            self.rehearsed += 1
+            self.replica.write(LOAD, f"{self.rehearsed % int(places):06}", Sends(1, self.rehearsed))
+        asyncio.get_running_loop().call_later(REHEARSE_S, self._rehearse, now, owed)
 
     # --- what this node tells -----------------------------------------------------------------------
 
--- a/tests/test_replica_mesh.py
+++ b/tests/test_replica_mesh.py
@@ -37,8 +37,7 @@
     async def run() -> None:
         try:
             await rig.start(**start)
-            if not rig.own:
-                await rig.until_equal(20)
+            await rig.until_equal(20)
             await story(rig)
             assert await rig.checked() == []
         finally:
@@ -136,10 +135,12 @@
     async def story(rig: Rig) -> None:
         node = rig.nodes["n4"]
         node.kill(folder=False)
+        rig.nodes["n0"].set_writes(1000, 3000)
 
         async def written() -> bool:
             return bool((await rig.replicas())["n0"]["places"].get("@load", 0) >= 3000)
         await rig.until(written, 60, "rows to catch up with")
+        rig.nodes["n0"].set_writes(10, 3000)
         sizes: list[int] = []
         for _ in range(4):  # 64 KiB a second of each of four: some seconds' worth
             node.start()
@@ -154,13 +155,9 @@
         assert sizes == sorted(sizes)  # what had come is kept, but for what was not on disk yet
         node.start()
         await rig.until_sure(20)
-
-        async def near() -> bool:
-            told = await rig.replicas()
-            return len({it["places"].get("@load") for it in told.values()}) == 1
-        await rig.until(near, 60, "all of it")
-    own = {"n0": "writes_per_s = 500\nplaces = 3000"}
-    on_mesh(tmp_path, story, own=own, replica=ON + "\nrate_kib = 64", start={"per_s": 2.0})
+        rig.nodes["n0"].set_writes(0, 1)
+        await rig.until_equal(60)
+    on_mesh(tmp_path, story, replica=ON + "\nrate_kib = 64", start={"per_s": 2.0})
 
 
 def test_a_stopped_node_and_one_that_reads_a_byte_a_second_hold_up_nobody(tmp_path: Path) -> None:
@@ -261,8 +258,8 @@
         operators = operators.replace(str(first.folder), str(tmp_path / "twin"))
         lines = [f'listen = "{host}:{_free()}"' if it.startswith("listen = ") else it
                  for it in operators.splitlines()]
-        lines += ["writes_per_s = 5", "places = 5"]
         twin = Process("n4", tmp_path / "twin", told, "\n".join(lines), first.cluster, (host, 1))
+        twin.set_writes(5, 5)
         twin.start()
         try:
             async def noticed() -> bool:
