--- a/puffinpost/replica/member.py
+++ b/puffinpost/replica/member.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from puffinpost.replica import kinds, ranges
+from puffinpost.replica import kinds
+from puffinpost.replica.auditing import Auditing
 from puffinpost.replica.kinds import LASTING, LIFE, Life
 from puffinpost.replica.messages import (
     Again, Audit, Fetch, Have, Look, Mark, Message, Rows, Standing, Want,
@@ -22,9 +23,8 @@
 from puffinpost.replica.copies import Changes
 from puffinpost.replica.state import State
 
-MOST_FETCHED = 512
+CHANCE_BITS = 20
 SETTLES = 10  # times that a life waits for what is on its way of the lives before it
-MENDS = 20  # rounds in which damaged rows are asked for, before they are given up
 
 
 @dataclass(slots=True)
@@ -49,15 +49,15 @@
         for _, row in rows or []:
             if self.clock.credible(row.stamp):
                 self.clock.seen(row.stamp)
-        before = [it.life for it in self.state.copies if it.node == plan.name]
-        self.origin = Origin(plan.name, max([wall(), *(it + 1 for it in before)]))
+        before = max((it.life for it in self.state.copies if it.node == plan.name), default=0)
+        self.origin = Origin(plan.name, self._life(before))
         self.peering = Peering(plan, self.state, chance, now)
         self.settles_at: int | None = now + plan.settle_ns if not plan.neighbours() else None
         self.settled = self.mute = self.reborn = False
         self.heard: dict[Origin, int] = {}  # when something new of a life came last
-        self.audits: list[Origin] = []
+        self.auditing = Auditing(plan, self.state, self.peering, chance, count)
         self.audit_at = now + plan.audit_ns
-        self.mends = self.waits = 0
+        self.waits = 0
         self._learn_lives()
 
     # --- what the rest of the node calls --------------------------------------------------------------
@@ -102,14 +102,11 @@
             case Rows():
                 self._came(sender, said)
             case Audit():
-                self._audited(sender, said)
+                self.auditing.on_audit(sender, said)
             case Standing():
-                self._compared(sender, said)
+                self.auditing.on_standing(sender, said)
             case Fetch():
-                copy = self.state.copies.get(said.origin)
-                asked = said.seqs[:MOST_FETCHED]
-                found = [copy.order[seq] for seq in asked if seq in copy.order] if copy is not None else []
-                self._say(sender, Again(self.state.mark(said.origin), asked, found))
+                self.auditing.on_fetch(sender, said)
             case Again():
                 for _ in range(self.state.again(said)):
                     self.count("replica_mended")
@@ -161,11 +158,20 @@
             self.count("replica_same_name")
             return
         self.reborn = True
-        before, self.origin = self.origin, Origin(self.plan.name, later + 1)
+        before, self.origin = self.origin, Origin(self.plan.name, self._life(later))
         copy = self.state.copies.get(before)
         for row in list(copy.order.values()) if copy is not None else ():
             self._write(row.kind, row.key, row.stamp, row.value)
 
+    def _life(self, before: int) -> int:
+        """A number for a life, later than those that are known: its beginning in ms, and chance.
+
+        Guards against one number for two lives, where the time of day was set back and nobody knew of the
+        first one yet.
+        """
+        return max(self.clock.wall(), (before >> CHANCE_BITS) + 1) << CHANCE_BITS | self.chance.getrandbits(
+            CHANCE_BITS)
+
     def _settle(self) -> None:
         """This life has all that is to be had of the ones before it: it takes over."""
         if self.peering.lacking(self.plan.name) and self.waits < SETTLES:
@@ -234,65 +240,9 @@
                 self._write(row.kind, row.key, self.clock.now(), None)
         self.state.forget(self.origin, old)
 
-    # --- audits ---------------------------------------------------------------------------------------
-
     def _audit(self) -> None:
-        """One origin's copy is compared with a neighbour's, in turn."""
+        """What is to be done now and then: own words tidied, and a copy compared with a neighbour's."""
         self.audit_at = self.now + self.plan.audit_ns
         self.tidy()
-        self._mend()
-        if not self.audits:
-            self.audits = sorted(self.state.copies)
-            self.chance.shuffle(self.audits)
-        there = [name for name, peer in self.peering.peers.items()
-                 if self.now - peer.heard <= self.plan.quiet_ns]
-        while self.audits and there:
-            origin = self.audits.pop()
-            copy = self.state.copies.get(origin)
-            if copy is not None and copy.seq:
-                whole = ranges.span(copy, 0, copy.seq)
-                return self._say(self.chance.choice(there), Audit(self.state.mark(origin), [whole]))
-
-    def _mend(self) -> None:
-        """Rows that were damaged on disk are asked for, for a while: nobody may have them any more."""
-        holes = self.state.holes()
-        there = [name for name, peer in self.peering.peers.items()
-                 if self.now - peer.heard <= self.plan.quiet_ns]
-        if holes and there:
-            self.mends += 1
+        if self.auditing.look(self.now):
             self.audit_at = self.now + self.plan.patience_ns
-        for origin, seqs in holes.items() if there else ():
-            if self.mends > MENDS:
-                self.count("replica_lost")
-                self.state.fill(origin, list(seqs))
-            else:
-                self._say(self.chance.choice(there), Fetch(origin, sorted(seqs)[:MOST_FETCHED]))
-
-    def _audited(self, sender: str, said: Audit) -> None:
-        copy = self.state.copies.get(said.mark.origin)
-        if copy is None or said.mark != self.state.mark(said.mark.origin):
-            return  # they are not at the same point: news are under way, and nothing is lost
-        smaller = []
-        for theirs, own in ranges.differing(copy, said.spans):
-            if ranges.named(theirs, own):
-                here = ranges.standing(copy, own.after, own.upto)
-                self._say(sender, Standing(said.mark, own.after, own.upto, here))
-            else:
-                smaller += ranges.cut(copy, own)
-        if smaller:
-            self._say(sender, Audit(said.mark, smaller))
-
-    def _compared(self, sender: str, said: Standing) -> None:
-        origin = said.mark.origin
-        copy = self.state.copies.get(origin)
-        if copy is None or said.mark != self.state.mark(origin):
-            return
-        here = ranges.standing(copy, said.after, said.upto)
-        lost = [seq for seq in said.seqs if seq not in copy.order]
-        if lost:
-            self._say(sender, Fetch(origin, lost[:MOST_FETCHED]))
-        if set(here) - set(said.seqs):
-            self._say(sender, Standing(said.mark, said.after, said.upto, here))
-
-    def _say(self, name: str, said: Message) -> None:
-        self.peering.out.append((name, said))
--- a/puffinpost/replica/peering.py
+++ b/puffinpost/replica/peering.py
@@ -43,6 +43,7 @@
         self.out: list[tuple[str, Message]] = []
         self.flying: dict[Origin, int] = {}  # asked for, and until when nobody else is asked
         self.news_at: int | None = None
+        self.told_at = now - plan.busy_ns
         self.look_at = now
 
     # --- what comes ---------------------------------------------------------------------------------
@@ -152,7 +153,7 @@
         """Time has passed, or something has changed here."""
         self.now = now
         if self.state.news and self.news_at is None:
-            self.news_at = now + self.plan.news_ns
+            self.news_at = max(now + self.plan.news_ns, self.told_at + self.plan.busy_ns)
         if self.news_at is not None and now >= self.news_at:
             self._tell_news()
         if now >= self.look_at:
@@ -183,7 +184,7 @@
         return min(times)
 
     def _tell_news(self) -> None:
-        news, self.news_at = self.state.news, None
+        news, self.news_at, self.told_at = self.state.news, None, self.now
         self.state.news = set()
         marks = [self.state.mark(origin) for origin in news]
         for name, peer in self.peers.items():
--- a/puffinpost/replica/plan.py
+++ b/puffinpost/replica/plan.py
@@ -24,7 +24,8 @@
     rate: int = 1024 * 1024
     batch: int = 48 * 1024  # bytes of rows in one message: what shares the link waits no longer than for that
     remember_ms: int = 24 * 3600 * 1000
-    news_ns: int = 20 * MS  # news of so long go on together
+    news_ns: int = 20 * MS  # news of so long go on together ...
+    busy_ns: int = 100 * MS  # ... and where there always are some, so far apart: messages cost more than rows
     look_ns: int = 1 * S  # between two comparisons with a neighbour
     patience_ns: int = 500 * MS  # for an answer, before another neighbour is asked
     quiet_ns: int = 3 * S  # a neighbour that was not heard for so long is told nothing but looks
