--- /dev/null
+++ b/bench/heard.py
@@ -0,0 +1,231 @@
+"""What it is worth to a node to hear the others: a restart in the peak, and an account over its share.
+
+Real decisions on a virtual clock, four nodes and the transcribers of a stand-in fleet. For the restart one
+of twelve transcribers fails each set-up and one takes them and never answers; after some seconds all nodes
+start anew and all clients come back within a second, with what the lives before had told each other, or
+with nothing. For the account, one comes at five times its share to five transcribers, which have room for
+the shares, with all its devices at one node or spread over all.
+
+    python -m bench.heard [--seeds 5]
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import itertools
+import random
+import statistics
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+
+from puffinpost import interface as api
+from puffinpost.replica import kinds
+from puffinpost.replica.kinds import SEEN, Seen
+from puffinpost.replica.rows import Origin, Row, made
+from puffinpost.replica.stamps import Stamp
+from puffinpost.rules import Balancer
+
+MS, S = 1_000_000, 1_000_000_000
+NODES, ROOM, LIVES_S = 4, 40, 20
+MANY, FEW = 12, 5  # transcribers: with room for all, and with room for the shares
+FAILS, SILENT = 1, 2
+WAIT_NS, SET_UP_NS, DIAL_NS = 2 * S, 8 * MS, 200 * MS
+SETTINGS = api.Settings(
+    me=0, balancers=NODES, zone=0, zones=1, kinds=1,
+    classes=(api.RequestClass(aim_ns=500 * MS, deadline_ns=WAIT_NS, message_aim_ns=100 * MS),),
+    drain_grace_ns=S, cold_from=0.2, warm_within_ns=20 * S, fall_multiple=3.0, fall_ns=S,
+    answer_slack_ns=20 * MS, round_ns=5 * MS, max_attempts=4, max_pause_ns=S, dial_timeout_ns=DIAL_NS,
+    probes=True, cancels=True, report_fields=("x0", "concurrent"), passes=True, park_ns=5 * S,
+)
+TENANTS = tuple(api.Tenant(share=0.5, quota_connections=100.0) for _ in range(2))
+
+
+class World:
+    """Nodes and transcribers. ``bad``: whether two of them are."""
+
+    def __init__(self, settings: api.Settings, seed: int, servers: int, bad: bool) -> None:
+        self.settings, self.bad = settings, bad
+        self.chance = random.Random(seed)
+        self.now = S
+        self.events: list[tuple[int, int, Callable[[], None]]] = []
+        self.order = itertools.count()
+        self.numbers = itertools.count(1)
+        self.held: dict[int, Counter[int]] = {at: Counter() for at in range(1, servers + 1)}
+        self.count: Counter[str] = Counter()
+        self.lives = 0
+        self.nodes: list[Balancer] = []
+        self.standing: dict[tuple[int, int], tuple[int, int, int]] = {}  # server, tenant, attempt
+        self.asked: dict[tuple[int, int], tuple[int, int, bool]] = {}  # tenant, tries, answered
+        self.start(seed)
+
+    def start(self, seed: int) -> None:
+        """All nodes begin, and know the list."""
+        self.lives += 1
+        self.nodes = [Balancer(replace(self.settings, me=me), seed * 100 + 10 * self.lives + me)
+                      for me in range(NODES)]
+        self.standing.clear()
+        self.asked.clear()
+        self.held = {at: Counter() for at in self.held}
+        lines = tuple(api.ServerLine(at, 0, 0, 0, api.Status.READY, 1.0, 0) for at in self.held)
+        for me in range(NODES):
+            self.give(me, api.ServerList(api.ListKind.FULL, lines))
+
+    def at(self, when: int, call: Callable[[], None]) -> None:
+        heapq.heappush(self.events, (when, next(self.order), call))
+
+    def run(self, until: int) -> None:
+        while self.events and self.events[0][0] <= until:
+            self.now, _, call = heapq.heappop(self.events)
+            call()
+        self.now = until
+
+    def note(self, what: str) -> None:
+        self.count[what] += 1
+
+    def give(self, me: int, event: api.Event) -> None:
+        life, node = self.lives, self.nodes[me]
+
+        def later(after: int, made_of: api.Event) -> None:
+            self.at(self.now + after, lambda: self.give(me, made_of) if self.lives == life else None)
+        for action in node.handle(event, self.now):
+            match action:
+                case api.Timer(after, token):
+                    later(after, api.TimerDue(token))
+                case api.Probe(server):
+                    lost = self.bad and server in (FAILS, SILENT)
+                    load = sum(self.held[server].values())
+                    report = () if lost else (load / ROOM, float(load))
+                    result = api.Result.TIMEOUT if lost else api.Result.SERVED
+                    later(DIAL_NS if lost else 2 * MS, api.ProbeResult(server, result, DIAL_NS, report))
+                case api.Send(request, server, timeout):
+                    self.send(me, request, server, timeout, later)
+                case api.Move(request):
+                    self.note("moved")
+                    self.end(me, request)
+                case api.Refuse(request) | api.Fail(request):
+                    self.answer(me, request, "refused")
+
+    def send(self, me: int, request: int, server: int, timeout: int,
+             later: Callable[[int, api.Event], None]) -> None:
+        tenant, tries, answered = self.asked[me, request]
+        self.asked[me, request] = tenant, tries + 1, answered
+        self.note("attempts")
+        if self.bad and server == FAILS:
+            self.note("failed attempts")
+            later(SET_UP_NS, api.Outcome(request, tries, server, api.Result.CONNECT_FAILED, False, SET_UP_NS))
+        elif self.bad and server == SILENT:
+            self.note("failed attempts")
+            later(timeout, api.Outcome(request, tries, server, api.Result.TIMEOUT, False, timeout))
+        else:
+            self.held[server][tenant] += 1
+            self.standing[me, request] = server, tenant, tries
+            later(SET_UP_NS, api.Established(request, tries, server, SET_UP_NS))
+            life = self.lives
+            self.at(self.now + int(self.chance.expovariate(1 / LIVES_S) * S),
+                    lambda: self.end(me, request) if self.lives == life else None)
+            self.answer(me, request, f"served {tenant}")
+
+    def answer(self, me: int, request: int, what: str) -> None:
+        tenant, tries, answered = self.asked[me, request]
+        if not answered:
+            self.asked[me, request] = tenant, tries, True
+            self.note(what)
+
+    def end(self, me: int, request: int) -> None:
+        found = self.standing.pop((me, request), None)
+        if found is not None:
+            server, tenant, attempt = found
+            self.held[server][tenant] -= 1
+            self.give(me, api.Outcome(request, attempt, server, api.Result.SERVED, True, S))
+
+    def ask(self, me: int, tenant: int) -> None:
+        request = next(self.numbers)
+        self.asked[me, request] = tenant, 0, False
+        self.give(me, api.Request(request, 0, self.now + WAIT_NS, tenant=tenant))
+
+    def arrivals(self, begin: int, end: int, per_s: float, tenant: int, to: int | None) -> None:
+        when = begin
+        while (when := when + int(self.chance.expovariate(per_s) * S)) < end:
+            me = self.chance.randrange(NODES) if to is None else to
+            self.at(when, lambda me=me: self.ask(me, tenant))  # type: ignore[misc]
+
+
+def words(world: World) -> dict[int, dict[Origin, Row]]:
+    """What the nodes have told each other of each transcriber, as rows."""
+    found: dict[int, dict[Origin, Row]] = {}
+    for me, node in enumerate(world.nodes):
+        for it in node.memory().servers:
+            if it.fills or it.aside_until > world.now:
+                seen = Seen(0, it.fills, max(0, it.aside_until - world.now) // MS, False, 10.0)
+                origin = Origin(f"n{me}", 1)
+                found.setdefault(it.server, {})[origin] = made(
+                    origin, 1, SEEN, str(it.server), Stamp(world.now // MS, 0, f"n{me}"), kinds.encoded(seen))
+    return found
+
+
+def restart(seed: int, hears: bool, probes: bool) -> tuple[float, float, float]:
+    """Of the ten seconds after it: failed attempts, refusals, and attempts for one served."""
+    world = World(replace(SETTINGS, probes=probes), seed, MANY, bad=True)
+    world.arrivals(world.now, 26 * S, 14.0, 0, None)
+    world.run(15 * S)
+    told, back = words(world), len(world.standing)
+    world.start(seed)
+    for _ in range(back):
+        me = world.chance.randrange(NODES)
+        world.at(world.now + world.chance.randrange(S), lambda me=me: world.ask(me, 0))  # type: ignore[misc]
+    for me in range(NODES) if hears else ():
+        known = {at: kinds.known(rows, f"n{me}", 0, world.now // MS) for at, rows in told.items()}
+        world.give(me, api.Heard(tuple(api.HeardServer(at, it.fills, it.aside_ms * MS)
+                                       for at, it in known.items())))
+    before = world.count.copy()
+    world.run(25 * S)
+    after = world.count - before
+    tries = after["attempts"] / max(1, after["served 0"])
+    return float(after["failed attempts"]), float(after["refused"]), tries
+
+
+def flood(seed: int, hears: bool, to: int | None) -> tuple[float, float]:
+    """Served of the one inside its share, and of the one at five times its share, in ten seconds."""
+    world = World(replace(SETTINGS, tenants=TENANTS, over_share_worth=0.1), seed, FEW, bad=False)
+    world.arrivals(world.now, 22 * S, 5.0, 0, None)
+    world.arrivals(world.now, 10 * S, 5.0, 1, to)
+    world.arrivals(10 * S, 20 * S, 25.0, 1, to)
+    before: Counter[str] = Counter()
+    for step in range(2, 40):
+        world.run(S // 2 * step + S)
+        if world.now == 10 * S:
+            before = world.count.copy()
+        for me in range(NODES) if hears else ():
+            others = tuple(float(sum(node.books.shares.held[tenant] for at, node in enumerate(world.nodes)
+                                     if at != me)) for tenant in range(2))
+            world.give(me, api.Heard((), others))
+    after = world.count - before
+    return float(after["served 0"]), float(after["served 1"])
+
+
+def spread(values: list[float]) -> str:
+    """Median and range."""
+    return f"{statistics.median(values):.2f} ({min(values):.2f} to {max(values):.2f})"
+
+
+def main() -> None:
+    """Prints medians and ranges over seeds."""
+    raw = argparse.RawDescriptionHelpFormatter
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=raw)
+    parser.add_argument("--seeds", type=int, default=5)
+    seeds = range(1, parser.parse_args().seeds + 1)
+    for probes, hears in itertools.product((True, False), (False, True)):
+        failed, refused, tries = zip(*(restart(seed, hears, probes) for seed in seeds), strict=True)
+        print(f"restart, {'' if probes else 'no '}probes, {'with' if hears else 'without'} the others' word: failed attempts {spread(list(failed))}, refused {spread(list(refused))}, "
+              f"attempts for one served {spread(list(tries))}")
+    for to, name in ((None, "over all nodes"), (0, "to one node")):
+        for hears in (False, True):
+            inside, over = zip(*(flood(seed, hears, to) for seed in seeds), strict=True)
+            print(f"flood {name}, {'with' if hears else 'without'}: served inside its share "
+                  f"{spread(list(inside))}, at five times it {spread(list(over))}")
+
+
+if __name__ == "__main__":
+    main()
