--- a/bench/heard.py
+++ b/bench/heard.py
@@ -218,7 +218,8 @@
     seeds = range(1, parser.parse_args().seeds + 1)
     for probes, hears in itertools.product((True, False), (False, True)):
         failed, refused, tries = zip(*(restart(seed, hears, probes) for seed in seeds), strict=True)
-        print(f"restart, {'' if probes else 'no '}probes, {'with' if hears else 'without'} the others' word: failed attempts {spread(list(failed))}, refused {spread(list(refused))}, "
+        print(f"restart, {'' if probes else 'no '}probes, {'with' if hears else 'without'} the others' word: "
+              f"failed attempts {spread(list(failed))}, refused {spread(list(refused))}, "
               f"attempts for one served {spread(list(tries))}")
     for to, name in ((None, "over all nodes"), (0, "to one node")):
         for hears in (False, True):
