A node whose disk is full ends when it is told to; replica show counts where words differ

Cause: found by reading. Cluster.stop and Replica.stop waited for a write that is tried again until there is room, so SIGTERM hung on a full disk until somebody used kill -9. Change: a second for what is being written, then the end. Questions that nobody answered are forgotten with time.

--- a/puffinpost/cli/replica.py
+++ b/puffinpost/cli/replica.py
@@ -25,7 +25,9 @@
     life = "settled" if told["settled"] else "has not taken over from the lives before it yet"
     lines = [f"{told['node']}, life {told['life']}: {life}" + (", WRITES NO MORE: a later life is there"
                                                                if told["mute"] else "")]
-    lines += [f"  {kind}: {count} places" for kind, count in sorted(told["places"].items())]
+    lines += [f"  {kind}: {count} places" + (f", words differ at {told['contested'][kind]}"
+                                             if kind in told["contested"] else "")
+              for kind, count in sorted(told["places"].items())]
     lines += [f"  {it['node']}/{it['life']}: {it['rows']} rows up to {it['seq']}, sum {it['check']}"
               + (f", {it['holes']} damaged" if it["holes"] else "") for it in told["copies"]]
     for name, it in sorted(told["neighbours"].items()):
--- a/puffinpost/cluster/node.py
+++ b/puffinpost/cluster/node.py
@@ -28,6 +28,7 @@
     from puffinpost.cluster.replica import Replica
 
 LEAST_S = 0.002  # between two looks at the time
+STOP_S = 1.0  # for what is being written, at the end
 
 
 class Cluster:
@@ -92,8 +93,9 @@
         await self.links.close()
         if self.replica is not None:
             await self.replica.stop()
-        if self.writing is not None:
-            await asyncio.gather(self.writing, return_exceptions=True)
+        if self.writing is not None:  # guards the end of a node whose disk is full: it would wait for ever
+            await asyncio.wait({self.writing}, timeout=STOP_S)
+            self.writing.cancel()
         if self.writer is not None and self.store is not None:
             self.writer.shutdown()
             self.store.close()
--- a/puffinpost/cluster/replica.py
+++ b/puffinpost/cluster/replica.py
@@ -6,6 +6,7 @@
 import random
 import sqlite3
 import time
+from collections import Counter
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -15,7 +16,7 @@
 from puffinpost.cluster.links import Links
 from puffinpost.cluster.replica_store import ReplicaStore
 from puffinpost.config.cluster import ClusterConfig
-from puffinpost.replica import messages, ranges
+from puffinpost.replica import kinds, messages, ranges
 from puffinpost.replica.member import Member
 from puffinpost.replica.plan import Plan
 from puffinpost.replica.rows import Place
@@ -23,6 +24,7 @@
 
 SPEAKS = "replica"
 LEAST_S = 0.002  # between two looks at the time
+STOP_S = 1.0  # for what waits to be written, at the end
 GROUP_S = 0.05  # what changes in so long is written together
 AGAIN_S = 0.5  # before a write that failed is tried again
 MOST_ROWS = 20_000  # named to an operator who asks
@@ -76,8 +78,9 @@
         """Writes what waits, and ends."""
         if self.timer is not None:
             self.timer.cancel()
-        if self.writing is not None:
-            await asyncio.gather(self.writing, return_exceptions=True)
+        if self.writing is not None:  # guards the end of a node whose disk is full: it would wait for ever
+            await asyncio.wait({self.writing}, timeout=STOP_S)
+            self.writing.cancel()
         if self.writer is not None and self.store is not None:
             self.writer.shutdown()
             self.store.close()
@@ -188,13 +191,14 @@
             whole = ranges.span(copy, 0, copy.seq)
             copies.append({"node": origin.node, "life": origin.life, "seq": copy.seq, "floor": copy.floor,
                            "rows": whole.count, "check": f"{whole.check:016x}", "holes": len(copy.holes)})
-        kinds: dict[str, int] = {}
-        for kind, _ in member.state.places:
-            kinds[kind] = kinds.get(kind, 0) + 1
+        counted = Counter(kind for kind, _ in member.state.places)
+        contested = Counter(kind for (kind, _), rows in member.state.places.items()
+                            if kind in kinds.SHARED and kinds.contested(rows))
         return {
             "node": member.plan.name, "life": member.origin.life,
             "settled": member.settled, "mute": member.mute,
-            "check": f"{member.state.check():016x}", "copies": copies, "places": kinds,
+            "check": f"{member.state.check():016x}", "copies": copies, "places": counted,
+            "contested": contested,
             "neighbours": {name: {
                 "heard_ms": (now - peer.heard) // 1_000_000 if peer.heard > 0 else None,
                 "lacks": sum(member.state.lacks(it) is not None for it in peer.marks.values()),
--- a/puffinpost/replica/kinds.py
+++ b/puffinpost/replica/kinds.py
@@ -95,6 +95,12 @@
     return told if told is not None and told.since_ns else None
 
 
+def contested(rows: dict[Origin, Row]) -> bool:
+    """Whether words that differ stand of one place: the later one holds, and the others are taken back soon.
+    """
+    return len({row.value for row in rows.values() if row.value is not None}) > 1
+
+
 def current(rows: dict[Origin, Row]) -> dict[Origin, Row]:
     """Of each node's rows, those of its last life that says something here."""
     lives: dict[str, int] = {}
--- a/puffinpost/replica/peering.py
+++ b/puffinpost/replica/peering.py
@@ -198,6 +198,7 @@
     def _look(self) -> None:
         span = self.plan.look_ns
         self.look_at = self.now + span * 3 // 4 + self.chance.randrange(span // 2)
+        self.flying = {origin: until for origin, until in self.flying.items() if until > self.now}
         name = self.chance.choice(list(self.peers)) if self.peers else ""
         if name:
             self.out.append((name, Look(self.state.check())))
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -203,6 +203,10 @@
             node.room()
             await rig.until_sure(20)
         assert (await rig.propose("n6"))["outcome"] == "accepted"
+        rig.nodes["n5"].fill()
+        assert (await rig.propose("n3"))["outcome"] == "accepted"
+        rig.fault("n5", "end")
+        assert await rig.nodes["n5"].end() == 0  # it does not wait for room
         assert await rig.checked() == []
     on_mesh(story, Rig(tmp_path, 7, 3), per_s=5)
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -78,6 +78,7 @@
 def test_a_later_word_holds_whoever_says_it_and_a_tie_is_broken_alike() -> None:
     rows = {Origins[0]: made(Origins[0], 1, BAN, "s", Stamp(5, 0, "a"), kinds.encoded(Ban(7))),
             Origins[2]: made(Origins[2], 1, BAN, "s", Stamp(5, 0, "b"), kinds.encoded(Ban(0)))}
+    assert kinds.contested(rows) and not kinds.contested(dict([*rows.items()][:1]))
     assert kinds.ban(rows) is None  # b's calls it back, and b comes after a
     rows[Origins[3]] = made(Origins[3], 1, BAN, "s", Stamp(5, 1, "c"), kinds.encoded(Ban(9, "c")))
     assert kinds.ban(rows) == Ban(9, "c")
--- a/tests/test_replica_mesh.py
+++ b/tests/test_replica_mesh.py
@@ -219,6 +219,11 @@
             finally:
                 store.close()
         await rig.until(on_disk, 10, "rows on its disk")
+        node.fill()
+        await ban(rig, "n4", "s-0", banned=False)
+        await until_banned(rig, {"s-1", "s-2"})
+        rig.fault("n4", "end")
+        assert await node.end() == 0  # it does not wait for room
     on_mesh(tmp_path, story, extra='on_lost = "keep"')
 
 
