Parts of replication that nothing used are taken out

Peer.known, kinds.sends and Known.observers were written and never read, and a word on silence alone made an event that changes nothing. Measured: 33 tests of replication pass (all but the long ones); ruff and mypy are green.

--- a/puffinpost/replica/kinds.py
+++ b/puffinpost/replica/kinds.py
@@ -116,7 +116,6 @@
     fills: float
     aside_ms: int
     silent: bool
-    observers: int
 
 
 def known(rows: dict[Origin, Row], but: str, started_ns: int, now_ms: int) -> Known:
@@ -144,7 +143,7 @@
     asides.sort(reverse=True)
     most = len(asides) // 2  # more than half mean at least as long as the one at this place
     return Known(total / weights if weights > 1e-6 else 0.0, asides[most] if len(asides) > 1 else 0,
-                 len(silences) > 1 and 2 * sum(silences) > len(silences), len(asides))
+                 len(silences) > 1 and 2 * sum(silences) > len(silences))
 
 
 def held(rows: dict[Origin, Row], but: str, heard: set[Origin], nodes: int) -> tuple[tuple[float, ...], int]:
@@ -160,9 +159,3 @@
     width = max(map(len, told))
     sums = [float(sum(it[at] for it in told if at < len(it))) for at in range(width)]
     return tuple(it * max(nodes - 1, len(told)) / len(told) for it in sums), len(told)
-
-
-def sends(rows: dict[Origin, Row], started_ns: int) -> int:
-    """How many connections all nodes together have begun at a transcriber's process."""
-    said = (decoded(row, Sends) for row in rows.values())
-    return sum(it.count for it in said if it is not None and it.started_ns == started_ns)
--- a/puffinpost/replica/peering.py
+++ b/puffinpost/replica/peering.py
@@ -27,7 +27,6 @@
     bucket: Bucket
     heard: int = -(10**18)
     marks: dict[Origin, Mark] = field(default_factory=dict)  # what it has, as far as it has said
-    known: bool = False  # it has said all that it has
     asked: int | None = None  # since when an answer of it is waited for
     rest_until: int = 0
     want: Want | None = None  # what it asked for, and waits for
@@ -67,7 +66,6 @@
         peer = self.peers[name]
         if said.whole:
             peer.marks.clear()
-            peer.known = True
         peer.marks.update((mark.origin, mark) for mark in said.marks)
         if said.whole:
             more = [it for it in self.state.marks() if it.seq > getattr(peer.marks.get(it.origin), "seq", 0)]
--- a/puffinpost/wiring/replicated.py
+++ b/puffinpost/wiring/replicated.py
@@ -121,7 +121,7 @@
         for it in core.balancer.books.servers.values():
             rows = state.rows(SEEN, core.inventory.name(it.id))
             known = kinds.known(rows, me, it.started_ns, wall)
-            if known.fills or known.aside_ms or known.silent:
+            if known.fills or known.aside_ms:
                 servers.append(api.HeardServer(it.id, known.fills, known.aside_ms * MS))
         uses = {origin: row for name in member.plan.members
                 for origin, row in state.rows(USE, name).items()}
