A cold transcriber's budget holds for the whole fleet: what a node did not use of it lapses

Cause: found by reading and on a virtual clock. Each node kept up to 1.5 uses of its part for good (`Cold.room`), so thirty nodes that had been idle for some seconds had one each to use in the same moment, whatever the budget.

--- a/puffinpost/decisions/cold.py
+++ b/puffinpost/decisions/cold.py
@@ -4,10 +4,12 @@
 
 import math
 
+from puffinpost.decisions.allowance import earned
 from puffinpost.decisions.capacity import Capacity
 from puffinpost.decisions.model import Server
 
-COLD_SAFETY = 0.6  # of a cold server's budget is used: its size is a guess and others round up too
+COLD_SAFETY = 0.6  # of a cold server's budget is used: its size is a guess
+LASTS = 0.5  # of the time over which that is counted, an allowance may wait: 1.5 times 0.6 is under the whole
 
 
 class Cold:
@@ -34,8 +36,7 @@
         """Whether this balancer's own share of a cold server's budget has room for one more.
 
         Guards against pushing over a server that has just started. Its budget is a multiple of the rate of
-        connections that fills it while it warms; this balancer may use its own part of that. The part can be
-        less than one connection, so the first waits for a chance moment.
+        connections that fills it while it warms; this balancer may use its own part of that (`allowance`).
         """
         capacity, rules = self.capacity, self.books.settings
         if not capacity.is_cold(server):
@@ -44,7 +45,8 @@
             return server.id in self.books.called and server.budget >= 1.0
         full = server.fills or (capacity.full_connections or 0.0) * server.weight
         rate = full / rules.warm_within_ns * capacity.warmth(server) * rules.fall_multiple * COLD_SAFETY
-        server.budget = min(1.5, server.budget + rate / rules.balancers * (self.books.now - server.budget_ns))
+        span, lasts = self.books.now - server.budget_ns, LASTS * rules.fall_ns
+        server.budget = earned(server.budget, rate / rules.balancers, span, lasts)
         server.budget_ns = self.books.now
         return server.budget >= 1.0
 
--- /dev/null
+++ b/tests/test_probes.py
@@ -0,0 +1,149 @@
+"""Probe connections, and a relay that is given up: real sockets, and no node."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from puffinpost.fronts.transcriber import TranscriberSide
+from puffinpost.interface import Result
+from puffinpost.net.link import Link, stream_on
+from puffinpost.net.probes import MOST_KEPT, Prober
+
+PONG = b"PONG x0=0.5\r\n"
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+class Probes:
+    """A prober and what it was told, one after another."""
+
+    def __init__(self, limit_ms: int = 5000) -> None:
+        self.results: list[Result] = []
+        self.told = asyncio.Event()
+        self.prober = Prober(lambda: ("x0",), lambda: limit_ms * 1_000_000, self._done)
+
+    def _done(self, server: int, result: Result, took_ns: int, report: tuple[float, ...]) -> None:
+        self.results.append(result)
+        self.told.set()
+
+    async def ask(self, server: int, address: tuple[str, int]) -> Result:
+        self.told.clear()
+        self.prober.probe(server, address)
+        await asyncio.wait_for(self.told.wait(), 10)
+        return self.results[-1]
+
+
+async def listening(serve: Serve) -> tuple[asyncio.Server, tuple[str, int]]:
+    made = await asyncio.start_server(serve, "127.0.0.1", 0)
+    return made, made.sockets[0].getsockname()[:2]
+
+
+def test_a_kept_connection_that_ends_as_it_is_used_says_nothing_of_the_transcriber() -> None:
+    """It closes idle ones: the second probe's line meets that end, and is asked anew."""
+    asked = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readline()
+        asked.append("first")
+        writer.write(PONG)
+        if await reader.readline():
+            asked.append("second")
+            writer.transport.abort()
+
+    async def play() -> list[Result]:
+        made, address = await listening(serve)
+        probes = Probes()
+        await probes.ask(1, address)
+        await probes.ask(1, address)
+        made.close()
+        return probes.results
+
+    assert asyncio.run(play()) == [Result.SERVED, Result.SERVED]
+    assert asked == ["first", "second", "first"]
+
+
+def test_no_more_connections_are_kept_than_the_node_may_hold() -> None:
+    """A fleet may have ninety transcribers, and the descriptors are counted."""
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        open_now.add(writer)
+        while await reader.readline():
+            writer.write(PONG)
+        open_now.discard(writer)
+        writer.close()
+
+    open_now: set[asyncio.StreamWriter] = set()
+
+    async def play() -> None:
+        made, address = await listening(serve)
+        probes = Probes()
+        for server in range(3 * MOST_KEPT):
+            assert await probes.ask(server, address) is Result.SERVED
+        while len(open_now) > MOST_KEPT:
+            await asyncio.sleep(0.01)
+        probes.prober.forget(lambda server: False)
+        while open_now:
+            await asyncio.sleep(0.01)
+        assert await probes.ask(1, address) is Result.SERVED  # a probe that was out as it was told to drain
+        while open_now:
+            await asyncio.sleep(0.01)
+        made.close()
+
+    asyncio.run(asyncio.wait_for(play(), 20))
+
+
+@pytest.mark.parametrize(("limit_ms", "result"), [(100, Result.TIMEOUT), (2000, Result.SERVED)])
+def test_a_probe_may_take_as_long_as_a_dial(limit_ms: int, result: Result) -> None:
+    """As the settings have it: what was one site's figure gave up on another's transcribers."""
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readline()
+        await asyncio.sleep(0.4)
+        writer.write(PONG)
+
+    async def play() -> Result:
+        made, address = await listening(serve)
+        got = await Probes(limit_ms).ask(1, address)
+        made.close()
+        return got
+
+    assert asyncio.run(play()) is result
+
+
+class Stub:
+    """What stands for a core, a session and a relay here."""
+
+    exchange: Any
+
+    def __getattr__(self, name: str) -> Any:
+        return Stub()
+
+
+@pytest.mark.parametrize("stands", [False, True])
+def test_a_first_line_that_waits_here_goes_nowhere_once_its_relay_is_given_up(stands: bool) -> None:
+    """It counts as never sent. What a client wrote on a connection that stands goes out."""
+    async def play() -> int:
+        server = socket.create_server(("127.0.0.1", 0))
+        ours = socket.create_connection(server.getsockname())
+        theirs = server.accept()[0]
+        ours.setblocking(False)
+        link = Link(stream_on(ours))
+        relay: Any = Stub()
+        relay.exchange = Stub()
+        relay.exchange.standing = stands
+        session: Any = Stub()
+        side = TranscriberSide(session, relay, None)
+        side.link = link
+        link.write(b"x" * 20_000_000)
+        side.drop()
+        theirs.setblocking(False)
+        got = 0
+        while data := await asyncio.get_running_loop().sock_recv(theirs, 1 << 20):
+            got += len(data)
+        theirs.close()
+        server.close()
+        return got
+
+    assert (asyncio.run(asyncio.wait_for(play(), 10)) == 20_000_000) is stands
