--- a/puffinpost/fronts/transcriber.py
+++ b/puffinpost/fronts/transcriber.py
@@ -39,6 +39,7 @@
         self.splitter = lines.LineSplitter()
         self.notes = LoadLines()
         self.last = lines.Word.OTHER
+        self.report: tuple[float, ...] = ()  # what came with that, where answers hold load reports
 
     @classmethod
     def carried_on(cls, session: LineNorth, relay: Relay, link: Link, rest: bytes,
@@ -116,6 +117,7 @@
                 self.core.load(self.relay, told)
         elif word in (lines.Word.BYE, lines.Word.MOVE):
             self.last = word
+            self.report = lines.report_of(line, self.core.settings.report_fields)
         if not self.relay.over:
             self.session.line_back(line, word)
             self.core.line_south(self.relay, len(line), word is lines.Word.OTHER)
@@ -126,7 +128,7 @@
                 self.last, api.Result.RESET
             )
             self.session.transcriber_ended(self.last, reset)
-            self._over(result)
+            self._over(result, self.report)
         else:
             self._over(api.Result.RESET)
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -250,3 +250,15 @@
     except OSError:
         return False
     return True
+
+
+def test_the_load_report_at_a_connections_end_is_taken(world: World) -> None:
+    """Where answers hold reports, most come with the last word of connections that stood."""
+    report = {"Source": "inline", "Fields": ["x0", "concurrent"]}
+    node = world.start(settings={"Report": report}, edge="[log]\ntrace = true\n")
+    client = node.client(fresh(OPEN % 3000))
+    relay = served(world, client)
+    relay.send(b"BYE x0=0.5,concurrent=3\r\n")
+    relay.close()
+    assert client.line() == b"BYE x0=0.5,concurrent=3\r\n" and client.ending() == "end"
+    node.wait_log("report=(0.5, 3.0)")
