--- a/puffinpost/cluster/replica.py
+++ b/puffinpost/cluster/replica.py
@@ -78,9 +78,10 @@
         """Writes what waits, and ends."""
         if self.timer is not None:
             self.timer.cancel()
-        if self.writing is not None:  # guards the end of a node whose disk is full: it would wait for ever
-            await asyncio.wait({self.writing}, timeout=STOP_S)
-            self.writing.cancel()
+        writing = self.writing  # by the end of the wait it may be over, and another one begun
+        if writing is not None:  # guards the end of a node whose disk is full: it would wait for ever
+            await asyncio.wait({writing}, timeout=STOP_S)
+            writing.cancel()
         if self.writer is not None and self.store is not None:
             self.writer.shutdown()
             self.store.close()
--- a/puffinpost/decisions/cold.py
+++ b/puffinpost/decisions/cold.py
@@ -35,8 +35,7 @@
     def room(self, server: Server) -> bool:
         """Whether this balancer's own share of a cold server's budget has room for one more.
 
-        Guards against pushing over a server that has just started. Its budget is a multiple of the rate of
-        connections that fills it while it warms; this balancer may use its own part of that (`allowance`).
+        Its budget is a multiple of the rate of connections that fills it while it warms (`allowance`).
         """
         capacity, rules = self.capacity, self.books.settings
         if not capacity.is_cold(server):
@@ -45,9 +44,8 @@
             return server.id in self.books.called and server.budget >= 1.0
         full = server.fills or (capacity.full_connections or 0.0) * server.weight
         rate = full / rules.warm_within_ns * capacity.warmth(server) * rules.fall_multiple * COLD_SAFETY
-        span, lasts = self.books.now - server.budget_ns, LASTS * rules.fall_ns
-        server.budget = earned(server.budget, rate / rules.balancers, span, lasts)
-        server.budget_ns = self.books.now
+        span, server.budget_ns = self.books.now - server.budget_ns, self.books.now
+        server.budget = earned(server.budget, rate / rules.balancers, span, LASTS * rules.fall_ns)
         return server.budget >= 1.0
 
     def spend(self, server: Server) -> None:
--- a/puffinpost/wiring/node.py
+++ b/puffinpost/wiring/node.py
@@ -279,7 +279,7 @@
         if self.cluster is not None:
             self.cluster.start()
         if self.core.balancer.asking.agent:
-            self.watch.start()
+            self.subscribe()
             await self._freshened(AGENT_S)
         await self._take_place()
         await asyncio.sleep(0)  # a signal that was held has its turn
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import select
@@ -20,6 +21,8 @@
 from standins import ROOT, SETTINGS, WAIT_S, Discovery, Peer, Server, free_port
 from test_node import OPEN, first_of, fresh, served
 
+from puffinpost.cluster.replica import Replica
+
 MS = 1_000_000
 PATIENT = [{**item, "AimNs": 8000 * MS, "HardLimitNs": 9000 * MS} for item in SETTINGS["Classes"]]
 SLOW_DIALS = {"Classes": PATIENT, "Limits": {**SETTINGS["Limits"], "DialTimeoutNs": 6000 * MS}}
@@ -262,3 +265,19 @@
     relay.close()
     assert client.line() == b"BYE x0=0.5,concurrent=3\r\n" and client.ending() == "end"
     node.wait_log("report=(0.5, 3.0)")
+
+
+def test_a_write_that_ends_while_its_node_stops_ends_nothing_else() -> None:
+    """Seen under load: the process ended with an error in place of 0."""
+    replica = Replica.__new__(Replica)
+    replica.timer = replica.writer = replica.store = None
+
+    async def write() -> None:
+        await asyncio.sleep(0)
+        replica.writing = None
+
+    async def play() -> None:
+        replica.writing = asyncio.get_running_loop().create_task(write())
+        await replica.stop()
+
+    asyncio.run(play())
