A node that is killed again and again has more rows to catch up with than four kills let through

Change: 6,000 rows in place of 3,000, so that the node is behind at each kill; nothing else of the test.

--- a/tests/test_replica_mesh.py
+++ b/tests/test_replica_mesh.py
@@ -135,12 +135,12 @@
     async def story(rig: Rig) -> None:
         node = rig.nodes["n4"]
         node.kill(folder=False)
-        rig.nodes["n0"].set_writes(1000, 3000)
+        rig.nodes["n0"].set_writes(1000, 6000)
 
         async def written() -> bool:
-            return bool((await rig.replicas())["n0"]["places"].get("@load", 0) >= 3000)
+            return bool((await rig.replicas())["n0"]["places"].get("@load", 0) >= 6000)
         await rig.until(written, 60, "rows to catch up with")
-        rig.nodes["n0"].set_writes(10, 3000)
+        rig.nodes["n0"].set_writes(10, 6000)
         sizes: list[int] = []
         for _ in range(4):  # 64 KiB a second of each of four: some seconds' worth
             node.start()
