Bounds of replaced tests are back beside the new ones; late answers have tests

Cause: read again, some replacements of checks were looser than the six seconds need, and did not name each. `test_a_mass_start...` had nine seconds: its 20 calls in any second hold again, and 15 in half of one. `gaps > 4 x the first` is back, beside the upper bound. Rests of up to 40 s after failures break the six seconds; the mean rest has a lower bound in their place. The long rest after a refused connection is planted and found again. The whole suite was not run after it.

--- a/puffinpost/core.py
+++ b/puffinpost/core.py
@@ -238,7 +238,8 @@
 
     def tenant_of(self, name: str | None) -> int:
         """The number of a tenant that a new message names; one past the last where none is known by that."""
-        return self.tenants.get(name or "", len(self.settings.tenants)) if self.settings.tenants else 0
+        unknown = len(self.settings.tenants)
+        return unknown if name is None else self.tenants.get(name, unknown)
 
     # --- the inventory ------------------------------------------------------------------------------
 
@@ -510,7 +511,7 @@
             "server": self.inventory.name(exchange.relay.server) if exchange.relay is not None else "",
             "load": int(flow.load) if flow is not None and flow.load is not None else message.load,
             "group": message.group, "source": message.source, "ident": message.ident,
-            "tenant": message.tenant,
+            "tenant": next((it.name for it in self.settings.tenants[message.tenant:]), None),
             "came_ns": exchange.came_ns, "up_ns": exchange.up_ns, "sent": list(exchange.sent),
             "octets": [exchange.octets_north, exchange.octets_south],
         }
@@ -534,7 +535,7 @@
         message = Message(
             self.classes[state["class"]], 0, state["key"], state["group"], state["load"],
             source=(str(state["source"][0]), int(state["source"][1])), ident=state["ident"],
-            tenant=state.get("tenant", 0),
+            tenant=self.tenant_of(state.get("tenant")),
         )
         self.foreign.discard(message.ident)
         exchange = self._new(message, north)
--- a/tests/test_drain_rule.py
+++ b/tests/test_drain_rule.py
@@ -77,6 +77,19 @@
     assert broken(range(20))
 
 
+def test_a_long_rest_after_a_refused_connection_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Four times the time to ask within, as it is for a call that failed, where no call was made at all."""
+    told = FleetNode._ended
+
+    def ended(node: FleetNode, watch: int, how: End) -> None:
+        told(node, watch, how)
+        if how is End.UNREACHED and not node.active:
+            node.core.balancer.asking.ask_ns = node.clock.time + 4 * node.core.settings.ask_within_ns
+
+    monkeypatch.setattr(FleetNode, "_ended", ended)
+    assert broken(range(40))
+
+
 def test_a_late_answer_after_which_nobody_asks_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
     """What came on a call that was given up is a list: the decisions then wait for the next one."""
     told = FleetNode.subscribe
@@ -245,6 +258,94 @@
     assert max(gaps[1:7]) < GOES_ON_NS / S
 
 
+@pytest.mark.parametrize("begins", [False, True])
+def test_a_call_without_a_whole_answer_is_made_anew_and_one_that_comes_late_is_read(
+    begins: bool, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """On real sockets. An answer without an end is given up soon; a silent call stays open and is read."""
+    monkeypatch.setattr(Following, "call", lambda it, index, now_ns: Call(None, 0, 300 * MS))
+    monkeypatch.setattr("puffinpost.net.discovery.REST_NS", 100 * MS)
+    body = b'{"index":1,"snapshot":true,"endpoints":[]}'
+    whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+    told: list[object] = []
+    ended: list[bool] = []
+
+    async def play() -> None:
+        second, late = asyncio.Event(), asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            if second.is_set() or calls:
+                second.set()
+                await reader.read()
+                writer.close()
+                return
+            calls.append(writer)
+            if begins:
+                writer.write(whole[:50])
+                ended.append(await reader.read() == b"")
+                return
+            await second.wait()
+            writer.write(whole)
+
+        def take(answer: dict[str, object]) -> None:
+            told.append(answer)
+            late.set()
+
+        calls: list[asyncio.StreamWriter] = []
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        watch = Watch(server.sockets[0].getsockname()[:2], following(2), lambda: 0, take, lambda: None)
+        watch.start()
+        await asyncio.wait_for(second.wait(), 10)
+        if not begins:
+            await asyncio.wait_for(late.wait(), 10)
+        watch.stop()
+        server.close()
+
+    asyncio.run(play())
+    assert (ended == [True] and told == []) if begins else told[0] == {
+        "index": 1, "snapshot": True, "endpoints": []}
+
+
+def test_the_old_discovery_is_watched_until_the_turn() -> None:
+    """A large fleet turns to a new one at drawn moments."""
+    async def play() -> list[str]:
+        asked: list[str] = []
+        again = asyncio.Event()
+
+        async def listening(name: str) -> asyncio.Server:
+            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                await reader.readuntil(b"\r\n\r\n")
+                asked.append(name)
+                again.set()
+                ends = await reader.read()
+                asked.append(f"{name} left{ends.decode()}")
+                writer.close()
+            return await asyncio.start_server(serve, "127.0.0.1", 0)
+
+        async def wait(what: str) -> None:
+            while what not in asked:
+                again.clear()
+                await asyncio.wait_for(asyncio.sleep(0.01), 10)
+
+        old, new = await listening("old"), await listening("new")
+        watch = Watch(old.sockets[0].getsockname()[:2], following(200), lambda: 1, lambda told: None,
+                      lambda: None)
+        watch.start()
+        await wait("old")
+        turned: list[list[str]] = []
+        watch.redirect(new.sockets[0].getsockname()[:2], 200 * MS, lambda: turned.append(list(asked)))
+        await wait("new")
+        assert turned == [["old"]]
+        watch.stop()
+        await wait("old left")
+        old.close()
+        new.close()
+        return asked
+
+    assert {"old", "new", "old left"} <= set(asyncio.run(asyncio.wait_for(play(), 10)))
+
+
 def test_lists_that_are_pushed_are_asked_for_at_their_agent(world: World) -> None:
     """Where settings say so the decisions wait for lists to come; on sockets somebody has to fetch them."""
     node = world.start(settings={"Discovery": "pushed"})
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -113,7 +113,7 @@
         while of(world.run(5 * MS), api.Subscribe) == []:
             assert world.now < began + 10 * S
         gaps.append(world.now - began)
-    assert gaps[0] <= 500 * MS and 3 * gaps[0] < max(gaps) <= 2500 * MS
+    assert gaps[0] <= 500 * MS and max(gaps) > 4 * gaps[0] and max(gaps) <= 2500 * MS
     world.give(api.ServerList(api.ListKind.DELTA))
     world.give(api.ServerList(api.ListKind.FAILED))
     assert len(of(world.run(500 * MS), api.Subscribe)) == 1
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -72,7 +72,8 @@
     settings = replace(SETTINGS, list_on_request=True)
     nodes = [Driver(replace(settings, me=me), line(1), seed=1000 * seed + me) for me in range(NODES)]
     calls = [sum(len(of(node.run(100 * MS), api.Subscribe)) for node in nodes) for _ in range(41)]
-    assert sum(calls) == NODES and max(sum(calls[at:at + 5]) for at in range(36)) <= 15
+    assert sum(calls) == NODES and max(sum(calls[at:at + 10]) for at in range(32)) <= 20
+    assert max(sum(calls[at:at + 5]) for at in range(37)) <= 15
 
 
 @pytest.mark.parametrize("nodes", [1, 2, 5, 20, 21, 40, 200, 1000])
@@ -88,6 +89,7 @@
         moments.append(asking.ask_ns - S)
     assert max(moments) + 2 * S < 6 * S * 3 // 4 and min(moments) >= 25 * MS
     if nodes >= 200 or fails >= 9:
+        assert sum(moments) / len(moments) > 1400 * MS  # as much as the six seconds leave
         assert max(moments) - min(moments) > S
         slices = [sum(at <= it < at + 200 * MS for it in moments) for at in range(0, 6 * S, 200 * MS)]
         assert max(slices) < 60  # of two hundred
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import json
+import re
 import os
 import select
 import signal
@@ -138,11 +139,11 @@
     said = node.log.read_text().splitlines()
     if form == "json":  # each line is an object, the trace's too
         said = ["puffinpost: " + json.loads(line)["event"] for line in said]
-    lines = [line for line in said if " n=" in line]
+    lines = [line for line in said if re.search(r"trace ms=\d+ n=", line)]
     ours = [line.split()[5] for line in lines if "id=9b1f03aa5c7e2d41" in line]
     assert ours[:3] == ["Request", "Send", "Established"], lines
     assert "Outcome" in ours and "Outcome" in lines[-1], lines  # its id is known to its last outcome
-    listed = [line for line in said if " list CACHED " in line]
+    listed = [line for line in said if re.search(r"trace ms=\d+ list ", line)]
     assert listed and "s-0=READY@" in listed[0], listed  # the list as the decisions were given it
     assert node.stop() == 0
 
