The test of a planted fault cuts n6 off only once it acts on a version

Its output shows all but n6 on version 12. A proposal is accepted at n0 some time before n6 hears of it; the test cut n6 off at n0's word. Where that word was still on its way, n6 had no version at all, noted none when it acted, and nothing could contradict: the test's own race, not the program's. Ruled out: too little traffic at n6 (10 messages a second), the cut itself. Change: the delay stays, so that the word is on its way in each run, and the test waits until n6 acts on the first version before it cuts. What it asks of the history is as it was.

--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -350,7 +350,14 @@
 
 def test_a_planted_fault_is_found_and_the_history_shows_it(tmp_path: Path) -> None:
     async def story(rig: Rig) -> None:
+        for other in rig.names:  # its acceptance is still on its way to n6 when n0 has it
+            rig.fabric.rules.delay_s[other, "n6"] = 0.4
         assert (await rig.propose("n0"))["outcome"] == "accepted"
+
+        async def acts() -> bool:  # before it acts on a version of its own, there is nothing to contradict
+            told = (await rig.status(["n6"])).get("n6", {}).get("documents", {})
+            return bool(told.get("settings", {}).get("all_act_on"))
+        await rig.until(acts, 20, "first version at n6")
         rig.fault("n6", "cut")
         rig.fabric.cut(["n6"], rig.names)
         assert (await rig.propose("n0"))["outcome"] == "accepted"
