A session that ends half-closes its transcriber's side: last words are not reset away

Cause: found by reading. Where a client ended (or was moved) while its transcriber was writing, the node closed the transcriber's connection over bytes it had not read: a reset, where the client had ended in order (`TranscriberSide.drop`, `Session.lost`, `Link.close` without a door). What the client wrote last may be lost with it. Change: that side ends its sending first, and what still comes is read and dropped until the transcriber ends too, for a second at most; such connections count among the places and are the first to make room. What never stood, or was never written, is closed at once as before. A client that resets still has its transcriber's side reset.

--- a/puffinpost/fronts/platform.py
+++ b/puffinpost/fronts/platform.py
@@ -166,11 +166,11 @@
 
     def lost(self, reset: bool) -> None:
         self._leave()
-        south = self.south
-        if south is not None and south.link is not None:
+        exchange, south = self.exchange, self.south
+        if exchange is not None and exchange.standing and south is not None and south.link is not None:
             south.link.close(reset)
-        if self.exchange is not None:
-            self.core.gone(self.exchange)
+        if exchange is not None:
+            self.core.gone(exchange)
 
     def broke(self) -> None:
         if self.exchange is not None:
--- a/puffinpost/net/link.py
+++ b/puffinpost/net/link.py
@@ -21,7 +21,7 @@
 BEHIND = 16 * 1024  # a side that has this much unsent is waited for before more is read for it
 MOST_READ = 64 * 1024
 LINGER_S = 1.0
-MOST_DISCARDED = 256 * 1024  # read from a client that has its answer already; one that sends more is cut off
+MOST_DISCARDED = 256 * 1024  # read from a peer that has its last word already; one that sends more is cut off
 HANDSHAKE_S = 10.0
 
 
@@ -73,7 +73,7 @@
         """Whether one more connection may be accepted."""
 
     def last_word(self, link: Link) -> None:
-        """The client has its last word, and what it still sends is discarded."""
+        """The other end has its last word, and what it still sends is discarded."""
 
     def gone(self, link: Link) -> None:
         """The connection is closed."""
@@ -83,7 +83,9 @@
 
 
 class Link:
-    """A connected stream. One with a door is a client's, which is let read its last word before it ends."""
+    """A connected stream. One with a door is let read its last word before it ends: the client its answer, the
+    transcriber of a session that stood what its client wrote last.
+    """
 
     def __init__(self, stream: IOStream, door: Door | None = None) -> None:
         self.stream = stream
@@ -158,7 +160,7 @@
             await self.flushed()
 
     async def _discard(self) -> None:
-        """Guards the last word: a close on unread input is a reset, and that destroys what the client has
+        """Guards the last word: a close on unread input is a reset, and that destroys what the other end has
         not read yet. So this end stops sending, and what still comes is read and kept by nobody, as far as
         `MOST_DISCARDED` and `LINGER_S` go.
         """
@@ -283,11 +285,11 @@
     return Stream(connection, max_buffer_size=MOST_READ, read_chunk_size=CHUNK)
 
 
-def unconnected(address: tuple[str, int]) -> Link | None:
+def unconnected(address: tuple[str, int], door: Door | None = None) -> Link | None:
     """A link to be connected; None where there is no descriptor left for it."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
     try:
-        return Link(stream_on(socket.socket(family, socket.SOCK_STREAM)))
+        return Link(stream_on(socket.socket(family, socket.SOCK_STREAM)), door)
     except OSError as problem:
         log.say(f"no socket: {problem}")
         return None
@@ -299,10 +301,10 @@
         await asyncio.wait_for(link.stream.connect(address), timeout_s)
         return True
     except (TimeoutError, StreamClosedError, OSError):
-        link.close()
+        link.abort()
         return False
     except asyncio.CancelledError:
-        link.close()  # guards the descriptor of a call that is given up while it connects
+        link.abort()  # guards the descriptor of a call that is given up while it connects
         raise
 
 
--- a/puffinpost/net/south.py
+++ b/puffinpost/net/south.py
@@ -9,7 +9,7 @@
 
 from puffinpost.core import Core, Relay
 from puffinpost.interface import Result
-from puffinpost.net.link import Link, Receiver, connect, unconnected
+from puffinpost.net.link import Door, Link, Receiver, connect, unconnected
 
 
 class South(Receiver, Protocol):
@@ -26,15 +26,19 @@
 
 
 class Dialler:
-    """Starts relays. Each gets a socket of its own, which is there to be closed from the start."""
+    """Starts relays. Each gets a socket of its own, which is there to be closed from the start.
 
-    def __init__(self, core: Core) -> None:
+    ``door`` counts those that half-close and wait for their transcriber to end too (`Link.close`).
+    """
+
+    def __init__(self, core: Core, door: Door | None = None) -> None:
         self.core = core
+        self.door = door
         self._tasks: set[asyncio.Task[None]] = set()
 
     def start(self, south: South) -> None:
         """Begins a relay; what becomes of it goes to the core and to ``south``."""
-        south.link = unconnected(south.relay.address)
+        south.link = unconnected(south.relay.address, self.door)
         task = asyncio.get_running_loop().create_task(self._carry(south, south.relay))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -46,7 +50,7 @@
             core.ended(relay, Result.CONNECT_FAILED)
             return
         if not core.may_write(relay):
-            link.close()
+            link.abort()  # nothing was written, and nothing is owed
             core.ended(relay, Result.MOOT)
             return
         try:
--- a/puffinpost/wiring/node.py
+++ b/puffinpost/wiring/node.py
@@ -82,9 +82,9 @@
         self.watch = Watch(told.discovery, following, self._index, self._told, self.core.inventory_failed)
         if told.trace:
             self.core.trace = self.watch.trace = log.trace
-        dialler = Dialler(self.core)
         call_later = asyncio.get_running_loop().call_later
         self.places = Places(told.for_clients, self.counters, call_later)
+        dialler = Dialler(self.core, self.places)
         self.front = PlatformFront(self.core, dialler, self.places)
         self.xmpp: XmppFront | None = None
         self.mqtt: MqttFront | None = None
--- a/puffinpost/wiring/succession.py
+++ b/puffinpost/wiring/succession.py
@@ -132,7 +132,7 @@
             self.owner.class_stands(state["class"])
         north = Link(stream_on(sockets[0]), self.places)
         north.peer = (str(state["source"][0]), int(state["source"][1]))
-        south = Link(stream_on(sockets[1]))
+        south = Link(stream_on(sockets[1]), self.places)
         session = self.front.take_over(state, north, south)
         assert session.south is not None
         self.owner.run_link(north, session)
@@ -143,8 +143,7 @@
         if state["kind"] == "xmpp":
             self._take_xmpp(state)
             return
-        links = [Link(stream_on(each), self.places if state["north"] and not number else None)
-                 for number, each in enumerate(sockets)]
+        links = [Link(stream_on(each), self.places) for each in sockets]
         north = links.pop(0) if state["north"] else None
         south = links.pop(0) if links else None
         if south is not None and state["class"] not in self.core.classes:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -133,6 +133,22 @@
     assert unasked(*world.servers) and node.counts()["relays"] == 1
 
 
+def test_the_last_words_of_a_client_reach_a_transcriber_that_writes_just_then(world: World) -> None:
+    """The node is stopped while both sides write and the client ends: it closes over bytes that it has not read."""
+    node = world.start()
+    client = node.client(fresh(OPEN % 3000))
+    _, relay = first_of(world.servers)
+    relay.line()
+    relay.send(b"UP 1\r\n")
+    assert client.line() == b"UP 1\r\n"
+    node.process.send_signal(signal.SIGSTOP)
+    client.send(b"last words\r\n")
+    client.socket.shutdown(socket.SHUT_WR)  # were it closed, what the node writes would make it a reset
+    relay.send((b"x" * 98 + b"\r\n") * 600)
+    node.process.send_signal(signal.SIGCONT)
+    assert relay.line() == b"last words\r\n" and relay.ending() == "end"
+
+
 def test_who_sends_without_end_before_its_answer_is_answered(world: World) -> None:
     """What is kept for one client is bounded, and its connection ends with a word."""
     node = world.start()
