An entry of a list that cannot be right no longer spoils the rest of it

`Inventory.take` refused a whole list for one entry with an unknown status, address, weight or start: a drain beside it went unheard, though discovery had written it, and the list was asked for again and refused again for as long as the entry stood there. Change: the other entries hold. The transcriber of a spoilt one gets nothing new until an entry of it is right; the log names the first, a counter (`entries_spoilt`) counts them. What is no list at all is refused as before.

--- a/puffinpost/core.py
+++ b/puffinpost/core.py
@@ -246,6 +246,9 @@
     def inventory_told(self, told: dict[str, Any], cached: bool = False) -> None:
         """Discovery answered. ``InventoryError``: it is not a list."""
         event = self.inventory.take(told, cached)
+        if spoilt := self.inventory.spoilt:
+            self.counters.add("entries_spoilt", len(spoilt))
+            self.ports.log(f"discovery: {len(spoilt)} of its entries cannot be right: {spoilt[0][:200]}")
         self.able = True
         self.fresh = self.fresh or not cached
         self._give(lambda: event)
--- a/puffinpost/fronts/transcriber.py
+++ b/puffinpost/fronts/transcriber.py
@@ -70,9 +70,9 @@
     def drop(self) -> None:
         """The relay is over: its connection ends, after what the client wrote where it stood.
 
-        There the sending side ends first (half-close), for the transcriber may be writing in this very moment,
-        and a close over unread bytes is a reset. Where it did not stand, nothing that waits here may go out any
-        more: it counts as never sent.
+        There the sending side ends first (half-close), for the transcriber may be writing in this very
+        moment, and a close over unread bytes is a reset. Where it did not stand, nothing that waits here may
+        go out any more: it counts as never sent.
         """
         if self.link is None:
             return
--- a/puffinpost/inventory.py
+++ b/puffinpost/inventory.py
@@ -49,6 +49,7 @@
     kinds: Sequence[str]
     index: int = 0
     another: bool = False  # another discovery is asked from now on, and its whole list has not come yet
+    spoilt: list[str] = field(default_factory=list)  # what is wrong with entries of the last answer
     addresses: dict[api.ServerId, tuple[str, int]] = field(default_factory=dict)
     statuses: dict[api.ServerId, api.Status] = field(default_factory=dict)
     _started: dict[api.ServerId, int] = field(default_factory=dict)
@@ -56,23 +57,33 @@
     _names: dict[api.ServerId, str] = field(default_factory=dict)
 
     def take(self, told: dict[str, Any], cached: bool = False) -> api.ServerList:
-        """Takes in an answer of discovery's; the same as an event. ``InventoryError``: nothing is changed."""
+        """Takes in an answer of discovery's; the same as an event. ``InventoryError``: nothing is changed.
+
+        An entry that cannot be right is `spoilt`, and the others hold: were the whole answer refused, a drain
+        in it would go unheard. Whatever it was to say, its transcriber gets nothing new until one is right.
+        """
         index, full, entries = told.get("index"), told.get("snapshot"), told.get("endpoints")
         if not isinstance(index, int) or not isinstance(full, bool) or not isinstance(entries, list):
             raise InventoryError("index, snapshot or endpoints is missing or of the wrong type")
         lines, addresses = [], {}
+        named = [entry for entry in entries if isinstance(entry, dict) and isinstance(entry.get("name"), str)]
+        self.spoilt = ["an entry has no name"] * (len(entries) - len(named))
         # Names are given ids in their sorted order, so that two whose hashes agree are told apart alike at
         # every node.
-        for entry in sorted(entries, key=_name_of):
-            line = self._line(entry)
+        for entry in sorted(named, key=lambda it: str(it["name"])):
+            try:
+                line = self._line(entry)
+                if line.status is not api.Status.GONE:
+                    addresses[line.server] = _address(entry)
+            except InventoryError as problem:
+                self.spoilt.append(str(problem))
+                known = self._ids.get(entry["name"])
+                if known is None:
+                    continue
+                line = api.ServerLine(known, 0, 0, 0, api.Status.GONE, 1.0, self._started.get(known, 0))
             if index < self.index or (full and self.another):
                 line = self._newer_of(line)
             lines.append(line)
-            if line.status is not api.Status.GONE:
-                try:
-                    addresses[line.server] = parse_address(entry.get("address"))
-                except (ValueError, AttributeError):
-                    raise InventoryError(f"{entry['name']}: address {entry.get('address')!r}") from None
         if full:
             # Who is left out is gone, and is remembered as such: a list that is behind may still name it.
             self.statuses, self.another = dict.fromkeys(self.statuses, api.Status.GONE), False
@@ -112,7 +123,8 @@
 
     def _line(self, entry: dict[str, Any]) -> api.ServerLine:
         name = entry["name"]
-        status = _STATUS.get(entry.get("status", ""))
+        said = entry.get("status")
+        status = _STATUS.get(said) if isinstance(said, str) else None
         if status is None:
             raise InventoryError(f"{name}: status {entry.get('status')!r} is unknown")
         weight, since, cell = entry.get("weight", 1.0), entry.get("since_ms", 0), entry.get("group", 0)
@@ -138,10 +150,11 @@
         return known
 
 
-def _name_of(entry: Any) -> str:
-    if not isinstance(entry, dict) or not isinstance(entry.get("name"), str):
-        raise InventoryError("an entry has no name")
-    return str(entry["name"])
+def _address(entry: dict[str, Any]) -> tuple[str, int]:
+    try:
+        return parse_address(entry.get("address", ""))
+    except (ValueError, AttributeError):
+        raise InventoryError(f"{entry['name']}: address {entry.get('address')!r}") from None
 
 
 def _place(names: Sequence[str], name: Any) -> int:
--- a/puffinpost/net/link.py
+++ b/puffinpost/net/link.py
@@ -83,8 +83,8 @@
 
 
 class Link:
-    """A connected stream. One with a door is let read its last word before it ends: the client its answer, the
-    transcriber of a session that stood what its client wrote last.
+    """A connected stream. The other end of one with a door is let read its last word before it ends: a client
+    its answer, the transcriber of a session that stood what its client wrote last.
     """
 
     def __init__(self, stream: IOStream, door: Door | None = None) -> None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -134,7 +134,7 @@
 
 
 def test_the_last_words_of_a_client_reach_a_transcriber_that_writes_just_then(world: World) -> None:
-    """The node is stopped while both sides write and the client ends: it closes over bytes that it has not read."""
+    """The node is stopped while both sides write and the client ends: it would close over unread bytes."""
     node = world.start()
     client = node.client(fresh(OPEN % 3000))
     _, relay = first_of(world.servers)
