Crossings that had no test: descriptors, room, devices that cancel, overrun discovery

Change: tests/test_crossings.py starts the program for each: RLIMIT_NOFILE lowered under it, with and without its spare descriptor (no spin, no stop); a resting client that asks in the same turn as its place is needed; a device that says bye while an attempt is out, between attempts and where it stands; discovery that answers 503 after 2 s to all of a fleet of 200, alone and with idle clients in all places, and then tells a drain: asked again within 6 s, nothing sent there. No code is changed.

--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,187 @@
+"""Room, descriptors and calls that run out in the very moment in which they are asked for."""
+
+from __future__ import annotations
+
+import os
+import resource
+import signal
+import threading
+import time
+
+import pytest
+from conftest import World
+from standins import SETTINGS, WAIT_S, Discovery, Node, Peer
+from test_endings import heard, unasked
+from test_mqtt import OPEN as MQTT_OPEN
+from test_mqtt import MqttWorld
+from test_node import OPEN, first_of, fresh, served
+
+from puffinpost.following.asking import QUEUE_NS, TOLD_NS
+
+# --- descriptors ------------------------------------------------------------------------------------
+
+
+def held(node: Node) -> set[int]:
+    """The descriptors that the process has."""
+    return {int(name) for name in os.listdir(f"/proc/{node.process.pid}/fd")}
+
+
+def cpu_s(node: Node) -> float:
+    with open(f"/proc/{node.process.pid}/stat") as file:
+        fields = file.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+@pytest.mark.parametrize("spare", [True, False])
+def test_accepting_without_a_descriptor_neither_spins_nor_stops(world: World, spare: bool) -> None:
+    """The system has fewer than the node was told. With its spare one it answers; without, clients wait."""
+    node = world.start()
+    heard(world.discovery)
+    first_free = min(set(range(4096)) - held(node))
+    limits = resource.prlimit(node.process.pid, resource.RLIMIT_NOFILE)
+    resource.prlimit(node.process.pid, resource.RLIMIT_NOFILE, (first_free if spare else 3, limits[1]))
+    began, cpu = time.monotonic(), cpu_s(node)
+    clients = [node.client(fresh(OPEN % 3000)) for _ in range(20)]
+    if spare:
+        for client in clients:
+            assert client.line().startswith(b"BUSY") and client.ending() == "end"
+    while time.monotonic() - began < 1.0:
+        time.sleep(0.05)
+    assert cpu_s(node) - cpu < 0.5
+    resource.prlimit(node.process.pid, resource.RLIMIT_NOFILE, limits)
+    served(world, node.client(fresh(OPEN % 3000)) if spare else clients[0])
+    assert node.process.poll() is None
+
+
+# --- room -------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("asks_first", [True, False])
+def test_who_asks_as_its_place_is_needed_is_served_or_told_busy_and_not_both(
+        world: World, asks_first: bool) -> None:
+    """Three may rest here. One of them asks, and a fourth comes, while the node is stopped."""
+    node = world.start(sockets=32 + 14 + 14)
+    heard(world.discovery)
+    resting = [node.client(b"PING\r\n") for _ in range(3)]
+    assert [client.line() for client in resting] == [b"PONG\r\n"] * 3
+    fourth = node.client()
+    node.wait_counts("late", 0)  # a turn of its loop: the fourth is accepted
+    node.process.send_signal(signal.SIGSTOP)
+    for asks in (True, False) if asks_first else (False, True):
+        if asks:
+            resting[0].send(fresh(OPEN % 3000))
+        else:
+            fourth.send(b"PING\r\n")
+    node.process.send_signal(signal.SIGCONT)
+    assert fourth.line() == b"PONG\r\n"
+    resting[0].socket.settimeout(0.5)
+    try:
+        said = resting[0].line()
+    except TimeoutError:  # it has a place: its relay waits for the transcriber
+        resting[0].socket.settimeout(WAIT_S)
+        served(world, resting[0])
+        return
+    assert said.startswith(b"BUSY") and resting[0].ending() == "end" and resting[0].buffer == b""
+    assert unasked(*world.servers) and node.counts().get("relays", 0) == 0
+
+
+# --- a device that cancels --------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("when", ["an attempt is out", "between attempts", "it stands"])
+def test_a_device_that_cancels_gets_no_further_attempt(world: World, when: str) -> None:
+    front = MqttWorld(world)
+    phone = front.phone()
+    phone.subscribe()
+    if when == "it stands":
+        relay = phone.opened(world)
+    else:
+        phone.publish("open", MQTT_OPEN % 1, correlation_data=b"c")
+        phone.flush()
+        relay = first_of(world.servers)[1]
+        relay.line()
+    if when == "between attempts":
+        # The next one goes out at once, and the one after that fails too: from then on it is held back.
+        relay.send(b"ERR\r\n")
+        relay = first_of(world.servers)[1]
+        relay.line()
+        front.node.process.send_signal(signal.SIGSTOP)  # both come in one turn
+        relay.send(b"ERR\r\n")
+    phone.publish("bye", b"")
+    phone.flush()
+    front.node.process.send_signal(signal.SIGCONT)
+    phone.synced()
+    assert relay.ending() == "end"
+    front.node.wait_counts("served" if when == "it stands" else "gone", 1)
+    relays = front.node.counts()["relays"]
+    ended = time.monotonic()
+    while time.monotonic() - ended < 0.5:  # longer than what is held back waits
+        time.sleep(0.05)
+    assert front.node.counts()["relays"] == relays and unasked(*world.servers)
+
+
+# --- discovery at its limit -------------------------------------------------------------------------
+
+
+class Overrun(Discovery):
+    """While it is at its limit, each call waits in turn and is then answered 503."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.limit = threading.Event()  # set: it answers
+        self.limit.set()
+        self.failed = 0
+
+    def reply(self, body: bytes) -> list[bytes]:
+        if self.limit.is_set():
+            return super().reply(body)
+        self.limit.wait(QUEUE_NS / 1e9)
+        with self.changed:
+            self.failed += 1
+            self.changed.notify_all()
+        return [b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"]
+
+    def reset(self) -> None:
+        """All watches end."""
+        while self.links:
+            Peer(self.links.pop()).close("reset")
+
+
+@pytest.mark.parametrize("crowd", [False, True])
+def test_a_drain_is_heard_in_time_from_a_discovery_at_its_limit(world: World, crowd: bool) -> None:
+    """It counts as told 6 s after discovery could be reached, whatever became of the calls before; also where
+    idle clients fill all that clients may have meanwhile.
+    """
+    discovery = world.discovery = Overrun()
+    rules = {**SETTINGS["Rules"], "AskWithinNs": 10_000_000_000}
+    node = world.start(settings={"FleetSize": 200, "Rules": rules}, sockets=32 + 14 + 14)
+    discovery.wait_calls(1)
+    heard(discovery)
+    discovery.limit.clear()
+    discovery.reset()
+    with discovery.changed:
+        discovery.index += 1  # each call has an answer that it could be given
+    idle: list[Peer] = []
+    until = time.monotonic() + 3 * WAIT_S
+    while discovery.failed < 2:
+        idle += [node.client() for _ in range(20 * crowd)]
+        with discovery.changed:
+            discovery.changed.wait_for(lambda: discovery.failed >= 2, 0.2)
+        assert time.monotonic() < until
+    discovery.tell("s-0", world.servers[0].address, "draining")
+    reached = time.monotonic()
+    discovery.limit.set()
+    with discovery.changed:
+        index = discovery.index
+        assert discovery.changed.wait_for(lambda: index in discovery.asked, TOLD_NS / 1e9)
+    assert time.monotonic() - reached < TOLD_NS / 1e9
+    for client in idle:
+        client.close()
+    kept = []
+    for _ in range(3):
+        client = node.client(fresh(OPEN % 3000))
+        kept.append(world.servers[1].accept())
+        kept[-1].line()
+        kept[-1].send(b"UP 1\r\n")
+        assert client.line() == b"UP 1\r\n"
+    assert unasked(world.servers[0])
