A process that starts with an old list takes clients once discovery has told it a new one

Checked: traces of all 180 nodes. n99 was killed with a zone at 6.15 s and was back at 11.64 s with the list of before; nine transcribers were gone at 10.67 s. Its watch had died with it, so they counted as told at 16.67 s. Change: first calls come within 2.4 s (as after a failure), and a process waits with its listener until it has been told, discovery refuses the connection, or 4.4 s have gone by (2.4 s and discovery's 2 s queue). In a large fleet the first call waits 0.5 s at discovery at most, so that one with no news is answered too. A node alone asks at once.

--- a/puffinpost/emulator/fleet/discovery.py
+++ b/puffinpost/emulator/fleet/discovery.py
@@ -63,6 +63,7 @@
     calls: int = 0
     had: dict[int, int] = field(default_factory=dict)  # since when it has each change
     reach_ns: int | None = 0  # since when it can be reached
+    silent_ns: int | None = None  # when it last fell silent
     nodes: int = 0  # that ask it; 0: it bears any number
 
     def take(self, batch: list[Entry]) -> None:
@@ -121,11 +122,12 @@
             self._answer(caller, False, news)
 
     def _answer(self, caller: Caller, whole: bool, news: list[tuple[int, dict[str, Any]]]) -> None:
+        later = any(it.node is caller.node for it in self.out[self.out.index(caller) + 1:])
         self.leave(caller)
         entries = [it for _, it in news if not (whole and it["status"] == "removed")]
         answer = {"index": self.index, "snapshot": whole, "endpoints": entries}
         named = None if whole else {it["name"] for it in entries}
-        self.rule.answered(caller.node.number, self.upto, self.clock.time, named)
+        self.rule.answered(caller.node.number, self.upto, self.clock.time, named, later)
         self.clock.call_later(WIRE_NS, lambda: caller.done(answer))
 
     def _fail(self, caller: Caller, how: End) -> None:
@@ -161,7 +163,7 @@
 
     def fall_silent(self) -> None:
         """It takes connections and says nothing."""
-        self.silent, self.reach_ns = True, None
+        self.silent, self.reach_ns, self.silent_ns = True, None, self.clock.time
 
     def come_back(self) -> None:
         """It can be reached again."""
--- a/puffinpost/emulator/fleet/node.py
+++ b/puffinpost/emulator/fleet/node.py
@@ -11,10 +11,12 @@
 from puffinpost.emulator.fleet.clock import MS, WIRE_NS, Clock, S
 from puffinpost.emulator.fleet.discovery import Caller, Discovery, Entry
 from puffinpost.emulator.fleet.rule import DrainRule
+from puffinpost.following.asking import START_NS
 from puffinpost.following.calls import End, Following
 from puffinpost.inventory import Inventory
 
 CONNECT_NS = 1 * S
+STEP_NS = 10 * MS
 
 
 class World(Protocol):
@@ -26,6 +28,7 @@
     entries: dict[str, Entry]
     rest_s: float
     looks: bool
+    waits: bool
     slow_dials: float
     per_s: float
     twice: int
@@ -34,8 +37,8 @@
 class FleetNode:
     """One node: its core, its decisions, and its calls, with the driver's part played by the clock.
 
-    The world's ``rest_s`` and ``looks`` are faults to plant: a rest after each answer, and whether the core
-    looks at the list once more before a first byte.
+    The world's ``rest_s``, ``looks`` and ``waits`` are faults to plant: a rest after each answer, whether the
+    core looks at the list once more before a first byte, and whether a process waits for a list at its start.
     """
 
     def __init__(self, world: World, number: int, settings: api.Settings, seed: int) -> None:
@@ -50,6 +53,8 @@
         self.active = 0  # numbers the watch that goes on; 0: none does
         self._watches = 0
         self.late = False  # a late answer is being taken
+        self.dead = False
+        self.last: End | None = None
 
     # --- Ports ----------------------------------------------------------------------------------------
 
@@ -57,12 +62,41 @@
         self.clock.call_later(2 * MS, lambda: self.core.probed(server, api.Result.SERVED, 2 * MS, (0.3, 5.0)))
 
     def subscribe(self) -> None:
-        if not self.active:
+        if not self.active and not self.dead:
             self._begin()
 
     def log(self, text: str) -> None:
         pass
 
+    # --- its life -------------------------------------------------------------------------------------
+
+    def start(self, known: dict[str, Any]) -> None:
+        """A process begins with the list that it is given."""
+        self.core.inventory_told(known, cached=True)
+        self._serve(self.clock.time + START_NS)
+
+    def _serve(self, until: int) -> None:
+        ready = self.core.fresh or self.clock.time >= until or self.last is End.UNREACHED
+        if ready or not self.world.waits:
+            self.arrive()
+        else:
+            self.clock.call_later(STEP_NS, lambda: self._serve(until))
+
+    def die(self) -> dict[str, Any]:
+        """The process is killed; the list that it had, in discovery's form."""
+        self.dead, self.active = True, 0
+        for caller in [it for it in self.at.out if it.node is self]:
+            self.at.leave(caller)
+        kept, known = self.inventory, []
+        for server, status in kept.statuses.items():
+            if status is not api.Status.GONE:
+                known.append({
+                    "name": kept.name(server), "address": "127.0.0.1:1", "zone": "amman", "type": "large",
+                    "status": "up" if status is api.Status.READY else "draining",
+                    "since_ms": kept.started_ms(server),
+                })
+        return {"index": kept.index, "snapshot": True, "endpoints": known}
+
     # --- the calls ------------------------------------------------------------------------------------
 
     def redirect(self, discovery: Discovery) -> None:
@@ -104,12 +138,12 @@
             self._ended(watch, End.SILENT)
 
     def _done(self, watch: int, began: int, how: End | dict[str, Any], caller: Caller) -> None:
-        if self.caller is not caller and isinstance(how, dict):
+        if self.caller is not caller and isinstance(how, dict) and not self.dead:
             self.core.inventory_told(how)  # late, on a call that was given up
             self.late = True
             self.subscribe()
             self.late = False
-        if watch != self.active or self.caller is not caller:
+        if watch != self.active or self.caller is not caller or self.dead:
             return
         if isinstance(how, End):
             self._ended(watch, how)
@@ -124,8 +158,9 @@
         self.clock.call_later(pause, lambda: self._call(watch))
 
     def _ended(self, watch: int, how: End) -> None:
-        if watch != self.active:
+        if watch != self.active or self.dead:
             return
+        self.last = how
         if self.following.ended(how):
             self._call(watch)
         else:
@@ -136,6 +171,8 @@
 
     def arrive(self) -> None:
         """A client asks, and the next one some time later."""
+        if self.dead:
+            return
         wait_ms = self.chance.choice((1200, 2000, 4800))
         self.core.open(Message(0, wait_ms * MS, key=self.chance.getrandbits(32)), Client(self))
         self.clock.call_later(int(self.chance.expovariate(self.world.per_s) * S), self.arrive)
@@ -156,7 +193,7 @@
 
     def _connected(self, relay: Relay) -> None:
         core, world = self.node.core, self.node.world
-        if relay.over:
+        if relay.over or self.node.dead:
             return
         if world.looks and not core.may_write(relay):
             core.ended(relay, api.Result.MOOT)
--- a/puffinpost/emulator/fleet/rule.py
+++ b/puffinpost/emulator/fleet/rule.py
@@ -4,12 +4,14 @@
 was told that this drains or is gone. What "told" means (the protocol page, Discovery, The rules on sockets):
 
 - discovery wrote the change to the node; or
-- the node watches, and 2 s after the wait of its call (6 s after a call that may not wait) are over, whether
-  what discovery had to tell arrived or not; or the change came within 200 ms after the last answer to it;
+- the node watches, and 2 s after the wait of its call (6 s after a call that may not wait, or after discovery
+  fell silent under it) are over, whether what discovery had to tell arrived or not; or the change came within
+  200 ms after the last answer to it;
 - or the node has neither watched nor asked for ``Rules.AskWithinNs`` (four times that after a call that
   failed): then it counts as told what was true when that time began;
 - or, whatever else is allowed, 6 s have gone by since discovery had the change and could be reached, and the
-  node's last call or watch failed, was refused or was given up (the standing page).
+  node's last call or watch failed, was refused or was given up (the standing page); so did the watch of the
+  process before it, where a process has taken the place of one that died.
 
 Times are in ns on one clock. It is fed in the order of time, and says what it finds; it stops nobody.
 """
@@ -50,10 +52,13 @@
 
 
 class Source(Protocol):
-    """The discovery that a node asks: since when it has each change, and can be reached (None: it cannot)."""
+    """The discovery that a node asks: since when it has each change, and can be reached (None: it cannot);
+    when it last fell silent.
+    """
 
     had: dict[int, int]
     reach_ns: int | None
+    silent_ns: int | None
 
 
 class Told:
@@ -91,7 +96,11 @@
 
     def _by_silence(self, change: Change) -> int | None:
         if self.calls:
-            return max(change.at_ns, self.calls[-1][1])
+            made_ns, by_ns = self.calls[-1]
+            fell_ns = self.source.silent_ns if self.source is not None else None
+            if fell_ns is not None and fell_ns >= made_ns:
+                by_ns = max(by_ns, fell_ns + TOLD_NS)
+            return max(change.at_ns, by_ns)
         span = self.ask_within_ns * (FAILED_TIMES if self.failed else 1)
         return max(change.at_ns, self.quiet_ns) + span if span else None
 
@@ -117,6 +126,12 @@
         for change in self.changes:
             told.tell(change, began_ns)
 
+    def again(self, number: int, began_ns: int) -> None:
+        """A process takes the place of one that died, with the list that this one had."""
+        before = self.nodes[number]
+        told = self.nodes[number] = Told(began_ns, before.ask_within_ns, before.source)
+        told.known, told.down_ns, told.lost = dict(before.known), dict(before.down_ns), True
+
     def changed(self, server: str, takes_work: bool, now_ns: int) -> Change:
         """The true list changes."""
         change = Change(len(self.changes) + 1, now_ns, server, takes_work)
@@ -131,16 +146,20 @@
         told.answered_ns = None
         told.watching, told.failed = wait_ns > 0, False
 
-    def answered(self, node: int, upto: int, now_ns: int, named: Container[str] | None = None) -> None:
+    def answered(self, node: int, upto: int, now_ns: int, named: Container[str] | None = None,
+                 later: bool = False) -> None:
         """Discovery wrote an answer that holds the changes up to this number, or those of them that are of a
-        transcriber that it names.
+        transcriber that it names. ``later``: a call that was made after the one that it answers is still out.
         """
         told = self.nodes[node]
         for change in self.changes[:upto]:
             if named is None or change.server in named:
                 told.tell(change, now_ns)
-        told.answered_ns = now_ns if told.watching else None
         told.lost = False
+        if later:
+            told.calls = told.calls[-1:]
+            return
+        told.answered_ns = now_ns if told.watching else None
         self._over(told, now_ns)
 
     def turned(self, node: int, source: Source) -> None:
--- a/puffinpost/following/asking.py
+++ b/puffinpost/following/asking.py
@@ -23,8 +23,10 @@
 LONGEST_NS = (TOLD_NS - QUEUE_NS) * 3 // 5
 CHECK_NS = 10_000_000_000  # over how long a fleet's whole lists are spread that make sure of what was told
 SOONEST = 0.25  # of a span, before which no call comes again: a service that is down is not hammered
-ASK_PART = 0.5  # of the time within which the list must be asked for, the most that a call is put off ...
-START_PART = 0.75  # ... and the first one of a process; what is left is for discovery's queue
+ASK_PART = 0.5  # of the time within which the list must be asked for, the most that a call is put off
+# How long a process that starts with an old list waits for a new one before it takes clients: for the latest
+# first call of a fleet that starts in one moment, and discovery's queue.
+START_NS = LONGEST_NS + QUEUE_NS
 # An agent on the node's own machine answers at once and at no cost, and what it has counts as told at once.
 AGENT_AGAIN_NS = 50_000_000
 
@@ -60,14 +62,12 @@
     def begin(self, now_ns: int) -> None:
         """The node starts: it asks soon, for what it was started with may be old, and a peer starts alone.
 
-        In a large fleet most may start in one moment, and all ask for what makes up the whole list. No call
-        has failed yet, so they have nearly the time within which a node must ask.
+        The watch of the process before it broke as that ended, so for what came since the 6 s run already.
+        Most of a large fleet may start in one moment; what discovery cannot answer at once waits in turn.
         """
         if self.on_request:
-            span = self.span_ns(0)
-            if self.shared:
-                span = min(APART_NS * self.balancers, int(self.most_ns * START_PART))
-            self.ask_ns = now_ns + (0 if self.agent else self.chance.randrange(span + 1))
+            alone = self.agent or self.balancers <= 1
+            self.ask_ns = now_ns + (0 if alone else self.chance.randrange(self.span_ns(0) + 1))
 
     def due(self, now_ns: int) -> bool:
         """Whether to ask now; then the call is no longer due."""
--- a/puffinpost/following/calls.py
+++ b/puffinpost/following/calls.py
@@ -25,7 +25,8 @@
 LEAST_WAIT_MS, MOST_WAIT_MS = 16_000, 20_000
 AGENT_WAIT_MS = 1_000
 # The first call after a failure, where the whole list would cost a large fleet too much: its answer's version
-# tells soon whether discovery counts on as before.
+# tells soon whether discovery counts on as before. So does the first one of a process there: it takes clients
+# once it has been told, and a watch that nothing is new for would keep it waiting.
 DOUBT_WAIT_MS = 500
 GOES_ON_NS = 200_000_000  # a watch goes on where the next call comes within this of the last answer
 # Guards against a discovery that has vanished without a word: a call that outlasts its wait by this is given
@@ -67,7 +68,7 @@
     whole list, which costs discovery more. ``known``: the node was started with a list.
     """
 
-    __slots__ = ("asking", "check_ns", "doubt", "whole")
+    __slots__ = ("asking", "check_ns", "doubt", "first", "whole")
 
     def __init__(self, asking: Asking, known: bool) -> None:
         self.asking = asking
@@ -76,6 +77,7 @@
         # does at the start: a watch would tell only of what is newer than what this node was started with.
         # In a fleet that has to share its calls out that is enough, and half the calls.
         self.whole = not (asking.shared and known)
+        self.first = True  # nothing has been answered yet
         self.doubt = False  # discovery may have started over since the last answer
         self.check_ns: int | None = None  # when the whole list is asked for, to be sure that it has not
 
@@ -86,7 +88,7 @@
             self.whole = True
         if self.whole:
             return Call(None, 0, AGENT_NS if agent else WHOLE_NS)
-        if self.doubt:
+        if self.doubt or (self.first and not agent):
             return Call(index, DOUBT_WAIT_MS, DOUBT_WAIT_MS * MS + WHOLE_NS)
         wait_ms = AGENT_WAIT_MS if agent else self.asking.chance.randrange(LEAST_WAIT_MS, MOST_WAIT_MS)
         if self.check_ns is not None:
@@ -99,14 +101,14 @@
         ``news``: it named a transcriber; ``took_ns``: since the call; ``behind``: its version is lower than
         the one at hand, so discovery has started over.
         """
-        early = not (news or self.whole or self.doubt) and took_ns < PACE_NS
+        early = not (news or self.whole or self.doubt or self.first) and took_ns < PACE_NS
         if self.whole:
             self.whole, self.check_ns = False, None
         elif behind:
             self.whole = True
         elif self.doubt:
             self.check_ns = now_ns + self.asking.check_ns()
-        self.doubt = False
+        self.doubt = self.first = False
         return PACE_NS if early else 0
 
     def ended(self, how: End) -> bool:
--- a/puffinpost/inventory.py
+++ b/puffinpost/inventory.py
@@ -113,6 +113,10 @@
         """Whether the last word on a transcriber is that it may have new work."""
         return self.statuses.get(server) is api.Status.READY
 
+    def started_ms(self, server: api.ServerId) -> int:
+        """When a transcriber last started, as discovery has it."""
+        return self._started.get(server, 0) // 1_000_000
+
     def find(self, name: str) -> api.ServerId | None:
         """The id of a transcriber that discovery has named."""
         return self._ids.get(name)
--- a/puffinpost/net/discovery.py
+++ b/puffinpost/net/discovery.py
@@ -33,6 +33,7 @@
         self.told = told
         self.failed = failed
         self.trace: Callable[[str], None] | None = None  # told of each call and how it ended
+        self.last: End | None = None  # how the last watch ended
         self._task: asyncio.Task[None] | None = None
         self._turning: asyncio.TimerHandle | None = None  # another address is waited for
         # Calls that were given up as silent stay open until another is answered: discovery may hold that
@@ -107,8 +108,9 @@
             link.close()
 
     async def _run(self) -> None:
-        while self.following.ended(await self._watch()):
-            pass
+        self.last = await self._watch()
+        while self.following.ended(self.last):
+            self.last = await self._watch()
         self._task = None
         self.failed()
 
--- a/puffinpost/wiring/node.py
+++ b/puffinpost/wiring/node.py
@@ -13,7 +13,8 @@
 from puffinpost.bans import Bans
 from puffinpost.core import Core
 from puffinpost.counters import Counters
-from puffinpost.following.calls import Following
+from puffinpost.following.asking import START_NS
+from puffinpost.following.calls import End, Following
 from puffinpost.fronts.platform import PlatformFront
 from puffinpost.interface import Result, ServerId
 from puffinpost.inventory import Inventory, InventoryError
@@ -245,9 +246,15 @@
         await self.succession.begin()
 
     async def _freshened(self, most_s: float) -> None:
-        """Waits until discovery has told its list, or so long."""
+        """Waits until discovery has told its list or cannot be reached, or so long.
+
+        Guards against sends to what drained before this process began, or while the one before it could not
+        hear: that counts as told 6 s after it was made, and the list that a process is started with lacks it.
+        """
         until = time.monotonic() + most_s
         while not self.core.fresh and time.monotonic() < until and not self.stop.is_set():
+            if self.watch.last is End.UNREACHED:
+                return
             await asyncio.sleep(FRESH_STEP_S)
 
     def _say_counts(self) -> None:
@@ -281,6 +288,8 @@
         if self.core.balancer.asking.agent:
             self.subscribe()
             await self._freshened(AGENT_S)
+        else:
+            await self._freshened(START_NS / 1e9)
         await self._take_place()
         await asyncio.sleep(0)  # a signal that was held has its turn
         if self.stop.is_set():
