Every cold transcriber for which a node has an allowance is a candidate

In 200 nodes each has about one allowance at hand, and `Choice.sample` drew four near and four far servers like any others, so most allowances lapsed unused while the warm ones filled. Change: cold servers with room are candidates beside the drawn ones. Allowances and their bound are as before. The test fails without it.

--- a/puffinpost/decisions/choice.py
+++ b/puffinpost/decisions/choice.py
@@ -78,10 +78,8 @@
                 if server.id in flow.tried or not self.cold.room(server):
                     continue
                 skip -= 1
-                if skip < 0:
-                    picked.append(server)
-                    if skip <= -CHOICES:
-                        break
+                if skip < 0 and (skip >= -CHOICES or self.capacity.is_cold(server)):
+                    picked.append(server)  # a cold one's allowance lapses: whoever has it uses it
         if not picked and flow.drawn == 0:
             # Nothing is well and untried: one that was tried or put aside is better than none.
             both = flow.near + flow.far
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -191,3 +191,18 @@
     assert rooms == [True] * most + [False] * (16 - most)
     world.report(3, 0.7, 16.0)
     assert world.balancer.choice.has_room(server, flow(world))
+
+
+def test_a_cold_server_with_an_allowance_is_always_a_candidate_and_one_without_is_none() -> None:
+    """Allowances are few and lapse: were they drawn like any other server, most would go unused."""
+    cold = [line(number, started_ns=START) for number in (20, 21)]
+    warm = [line(number, zone=number % 2) for number in range(1, 20)]
+    world = Driver(replace(PLAIN, zones=2), *warm, *cold)
+    balancer, servers = world.balancer, world.balancer.books.servers
+    balancer.capacity.full_connections = 50.0
+    for number in (20, 21):
+        servers[number].budget, servers[number].budget_ns = float(number == 20), world.now
+    for key in range(50):
+        picked = balancer.choice.sample(flow(world, key=key))
+        assert servers[20] in picked and servers[21] not in picked
+        assert len([it for it in picked if it.id < 20]) <= 2 * CHOICES
