Tests of a process that starts with an old list: no client too early, ready in time

With discovery refusing, silent, at its limit or answering garbage it has its PONG within 6 s and serves, as a fleet of one and of 200.

--- /dev/null
+++ b/tests/test_starts.py
@@ -0,0 +1,76 @@
+"""A process that starts with an old list: it takes clients once it was told, and in time in any case."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+
+import pytest
+from conftest import World
+from standins import SETTINGS, Discovery, free_port
+from test_endings import unasked
+from test_node import OPEN, first_of, fresh
+
+from puffinpost.following.asking import START_NS
+
+READY_S = 10.0  # nine in ten restarted processes are to be ready by then; 6 s where the day ends sooner
+LARGE = {"FleetSize": 200, "Rules": {**SETTINGS["Rules"], "AskWithinNs": 10_000_000_000}}
+
+
+class Held(Discovery):
+    """It answers no call before it is told to."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.go = threading.Event()
+
+    def reply(self, body: bytes) -> list[bytes]:
+        self.go.wait()
+        return super().reply(body)
+
+
+def listens(port: int) -> bool:
+    try:
+        socket.create_connection(("127.0.0.1", port)).close()
+    except ConnectionRefusedError:
+        return False
+    return True
+
+
+@pytest.mark.parametrize("fleet", [{}, LARGE])
+def test_no_client_comes_before_a_list_that_has_what_its_own_may_lack(
+        world: World, fleet: dict[str, object]) -> None:
+    discovery = world.discovery = Held()
+    node = world.start(settings=fleet, waits=False)  # the list that it is started with is written by now
+    discovery.tell("s-0", world.servers[0].address, "draining")
+    discovery.wait_calls(1)
+    assert not listens(node.port)
+    discovery.go.set()
+    node.wait_log("listens on")
+    kept = []
+    for _ in range(4):
+        client = node.client(fresh(OPEN % 3000))
+        kept.append(world.servers[1].accept())
+        kept[-1].line()
+        kept[-1].send(b"UP 1\r\n")
+        assert client.line() == b"UP 1\r\n"
+    assert unasked(world.servers[0])
+
+
+@pytest.mark.parametrize("fleet", [{}, LARGE])
+@pytest.mark.parametrize("how", ["refused", "silent", "503", "garbage"])
+def test_a_process_is_ready_in_time_whatever_becomes_of_discovery(
+        world: World, how: str, fleet: dict[str, object]) -> None:
+    world.discovery.form = how
+    if how == "refused":
+        world.discovery.server.address = f"127.0.0.1:{free_port()}"
+    began = time.monotonic()
+    node = world.start(settings=fleet)
+    assert node.client(b"PING\r\n").line() == b"PONG\r\n"
+    assert time.monotonic() - began < min(READY_S, START_NS / 1e9 + 1.6)
+    client = node.client(fresh(OPEN % 3000))  # and it serves with the list that it has
+    relay = first_of(world.servers)[1]
+    relay.line()
+    relay.send(b"UP 1\r\n")
+    assert client.line() == b"UP 1\r\n"
