A relay over XMPP that is given up before its stream stands is closed at once

Cause: with half-closes at transcribers a connection that still dialled, or negotiated, was kept for a second after it was given up. Change: where no resource is bound nothing is owed, and it is closed at once, as before. Measured: the XMPP tests pass (79). Such a connection would have been closed unused by `Core.may_write`: no test of its own.

--- a/puffinpost/fronts/xmpp.py
+++ b/puffinpost/fronts/xmpp.py
@@ -661,12 +661,15 @@
         self.core.line_north(self.relay.exchange, len(raw))
 
     def drop(self) -> None:
-        """Closes the socket."""
-        if not self.stream.over and self.stream.bound:
+        """Closes the socket: in order where there is a stream, else at once, for it may still be dialled."""
+        bound = bool(self.stream.bound)
+        if not self.stream.over and bound:
             self.stream_write(xmpp.CLOSE)
         self.stream.over = True
-        if self.link is not None:
+        if self.link is not None and bound:
             self.link.close()
+        elif self.link is not None:
+            self.link.abort()
 
     # --- what the link tells (Receiver) -------------------------------------------------------------
 
