--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -165,6 +165,7 @@
     world.run(10 * S)  # 0.6 of its capacity; 160 over 20 s, three times, with a margin; half a second's worth
     rate = 160 / 20 * 0.6 * 3 * 0.6
     assert world.balancer.cold.room(servers[1])
+    assert 4 <= servers[1].budget <= 0.5 * rate + 1
     whole, part = divmod(servers[1].budget, 1.0)
     assert whole == int(0.5 * rate - part) + 1
     for _ in range(int(whole)):
