A null setting is absent, and one that cannot be right is named, never a traceback

Cause, found by putting 24 wrong values and an absence in the place of each of the settings of a file (2,209 files): a list that is null had the start refused (`_of`, for Dcs, Kinds and Tenants), though null counts as absent everywhere else; a message aim that is infinite ended a start with a traceback (OverflowError), and at a reload the signal's handler with one; a FamilyInfo, Report or Fees that is no table, and tenants that are none, were passed over without a word. Change: null is absent for each key of the settings; tables and lists are held to their type, with the key's name. Measured: 10 of the 13 new cases fail without the change; tests/test_names.py and test_reload.py pass.

--- a/puffinpost/config/node.py
+++ b/puffinpost/config/node.py
@@ -147,8 +147,8 @@
         seed=seed,
         settings=settings,
         classes=classes,
-        zones=tuple(str(item) for item in raw.get("Dcs", [])),
-        kinds=tuple(str(item) for item in raw.get("Kinds", [])),
+        zones=tuple(str(item) for item in raw.get("Dcs") or []),
+        kinds=tuple(str(item) for item in raw.get("Kinds") or []),
         sockets=sockets,
         for_clients=sockets - own,
         discovery_in_file=str(told.get("discovery", "")),
@@ -171,8 +171,14 @@
 
 def _settings(raw: dict[str, Any]) -> tuple[api.Settings, tuple[str, ...]]:
     """Settings as the platform has them, and the names of their classes. Raises ``ConfigError``."""
-    zones, kinds = _of(raw, "Dcs", list, []), _of(raw, "Kinds", list, [])
-    called = [str(item.get("Name", "")) for item in _of(raw, "Tenants", list, []) if isinstance(item, dict)]
+    raw = {key: value for key, value in raw.items() if value is not None}  # null is as good as absent
+    for key in ("FamilyInfo", "Fees", "Limits", "Report", "Rules"):
+        _of(raw, key, dict, {}, "settings.")
+    zones, kinds = _of(raw, "Dcs", list, [], "settings."), _of(raw, "Kinds", list, [], "settings.")
+    for key in ("Classes", "Tenants"):
+        if wrong := [item for item in _of(raw, key, list, [], "settings.") if not isinstance(item, dict)]:
+            raise ConfigError(f"settings.{key}: {wrong[0]!r} is not of type dict")
+    called = [str(item.get("Name", "")) for item in raw.get("Tenants", [])]
     if len(set(called)) < len(called):
         raise ConfigError(f"settings.Tenants: two have one Name: {', '.join(called)}")
     try:
@@ -306,9 +312,12 @@
     return float if isinstance(value, int) and not isinstance(value, bool) else type(value)
 
 
-def _of(table: dict[str, Any], key: str, kind: type, default: Any) -> Any:
-    value = table.get(key, default)
+def _of(table: dict[str, Any], key: str, kind: type, default: Any, path: str = "") -> Any:
+    """A key's value; one that is null is as good as absent. Raises ``ConfigError``."""
+    value = table.get(key)
+    if value is None:
+        value = default
     if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
         what = "is missing" if value is None else f"{value!r} is not of type {kind.__name__}"
-        raise ConfigError(f"{key}: {what}")
+        raise ConfigError(f"{path}{key}: {what}")
     return value
--- a/puffinpost/hosting/wire.py
+++ b/puffinpost/hosting/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import struct
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -309,9 +310,12 @@
 
     def numbers(self, path: str) -> list[float]:
         try:
-            return [0.0 if part == "null" else float(part) for part in self.names(path)]
+            found = [0.0 if part == "null" else float(part) for part in self.names(path)]
         except ValueError:
-            raise ValueError(f"settings: {path} = {self.values[path]!r} is not a list of numbers") from None
+            found = [math.nan]
+        if not all(map(math.isfinite, found)):
+            raise ValueError(f"settings: {path} = {self.values[path]!r} is not a list of numbers")
+        return found
 
 
 def _pick(values: list[float], index: int) -> float:
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -109,3 +109,32 @@
     assert told()["endpoints"][0]["status"] == "up"
     client = node.client(fresh(OPEN % 600))
     assert client.line().startswith(b"BUSY") and not world.servers[0].asked()
+
+
+EMPTY: dict[str, Any] = {"Dcs": [], "Kinds": [], "Tenants": [], "FamilyInfo": {}, "Report": {}, "Fees": {}}
+
+
+@pytest.mark.parametrize("key", EMPTY)
+def test_what_is_null_is_as_good_as_absent(tmp_path: Path, key: str) -> None:
+    """Some writers of JSON have null for a list without entries."""
+    told = load(written(tmp_path, **{key: None}))
+    assert told.settings == load(written(tmp_path, **{key: EMPTY[key]})).settings
+
+
+WRONG = [
+    ("FamilyInfo", {"MessageAimNs": ["inf"]}, "FamilyInfo.MessageAimNs"),
+    ("FamilyInfo", [], "settings.FamilyInfo"),
+    ("Report", "x0", "settings.Report"), ("Fees", 1, "settings.Fees"), ("Tenants", ["a"], "settings.Tenants"),
+    ("Classes", [LIVE, None], "settings.Classes"), ("Tenants", {"Name": "a"}, "settings.Tenants"),
+]
+
+
+@pytest.mark.parametrize(("key", "value", "named"), WRONG)
+def test_a_setting_that_cannot_be_right_is_named_at_a_start_and_a_reload(
+        tmp_path: Path, key: str, value: Any, named: str) -> None:
+    now = load(written(tmp_path))
+    environ = written(tmp_path, **{key: value})
+    with pytest.raises(ConfigError, match=named):
+        load(environ)
+    with pytest.raises(ConfigError):
+        reload(now, environ)
