A large fleet asks a moved discovery for what is newer, not for whole lists at once

Followed: n111, SIGHUP at 11.93 s, turned at 13.25 s, 'call whole' 503 after 13 ms at 13.27 and 15.26 s, answered at 18.91 s. Counted: a change takes discovery 0.08 to 0.16 s to write to 200 watches, and a whole list about 50 ms, 10 s for all nodes; `Following.redirected` had each ask for it, so it was overrun, and those who were refused asked for it again. n128 stayed with the old one, which takes no connection after the signal, for its drawn time as well. Ruled out: the watches themselves (all answered within 0.7 s of a change), the decisions (no send after the node's own list). Change: a large fleet asks the new one for what is newer than its list, as after a failure, and for the whole list later; what is told to drain stays so until that. The virtual fleets have old discoveries that end, the 4 s, and a whole list that costs more than a watch.

--- a/puffinpost/emulator/fleet/discovery.py
+++ b/puffinpost/emulator/fleet/discovery.py
@@ -46,7 +46,7 @@
 
 @dataclass(slots=True)
 class Discovery:
-    """The service. ``cost_ns``: the work of one call; ``lag_ns``: how far its list is behind the true one."""
+    """The service. ``cost_ns``: the work of a watch; ``lag_ns``: how far its list is behind the true one."""
 
     clock: Clock
     rule: DrainRule
@@ -65,6 +65,7 @@
     reach_ns: int | None = 0  # since when it can be reached
     silent_ns: int | None = None  # when it last fell silent
     nodes: int = 0  # that ask it; 0: it bears any number
+    whole: float = 1.0  # how many times the work of a watch the whole list is
 
     def take(self, batch: list[Entry]) -> None:
         """The true list has changed; it hears of it ``lag_ns`` later, and tells who waits."""
@@ -95,7 +96,7 @@
             self.clock.call_later(GIVES_UP_NS, lambda: self._fail(caller, End.OVERRUN))
             self.overruns += 1
             return
-        self.free_ns = starts + self.cost_ns
+        self.free_ns = starts + int(self.cost_ns * (self.whole if caller.call.after is None else 1.0))
         self.clock.call_later(self.free_ns - self.clock.time, lambda: self._work(caller))
 
     def _work(self, caller: Caller) -> None:
--- a/puffinpost/emulator/fleet/node.py
+++ b/puffinpost/emulator/fleet/node.py
@@ -11,7 +11,7 @@
 from puffinpost.emulator.fleet.clock import MS, WIRE_NS, Clock, S
 from puffinpost.emulator.fleet.discovery import Caller, Discovery, Entry
 from puffinpost.emulator.fleet.rule import DrainRule
-from puffinpost.following.asking import START_NS
+from puffinpost.following.asking import OLD_STAYS_NS, START_NS
 from puffinpost.following.calls import End, Following
 from puffinpost.inventory import Inventory
 
@@ -49,6 +49,8 @@
         self.core = Core(settings, ("a",), seed, self.inventory, self.clock, self, Counters())
         self.following = Following(self.core.balancer.asking, True)
         self.at = world.discoveries[0]
+        self.next: Discovery | None = None  # to turn to
+        self.at_end: Discovery | None = None  # takes no call of this node any more
         self.caller: Caller | None = None
         self.active = 0  # numbers the watch that goes on; 0: none does
         self._watches = 0
@@ -99,8 +101,28 @@
 
     # --- the calls ------------------------------------------------------------------------------------
 
-    def redirect(self, discovery: Discovery) -> None:
-        """The configuration names another discovery."""
+    def reload(self, discovery: Discovery) -> None:
+        """The configuration names another discovery. The old one takes no new connection of this node, and
+        ends the one that it has after a while.
+        """
+        if self.dead:
+            return
+        self.next, self.at_end = discovery, self.at
+        self.world.rule.reloaded(self.number, discovery, self.clock.time)
+        after_ns = self.core.balancer.asking.redirect_ns()
+        self.clock.call_later(after_ns if self.active else 0, lambda: self._turn(discovery))
+        self.clock.call_later(OLD_STAYS_NS, self._closed)
+
+    def _closed(self) -> None:
+        for caller in [it for it in self.at.out if it.node is self] if self.at is self.at_end else []:
+            self.at.leave(caller)
+            self.world.rule.failed(self.number, self.clock.time)
+            caller.done(End.FAILED)
+
+    def _turn(self, discovery: Discovery) -> None:
+        if self.next is not discovery or self.dead:
+            return
+        self.next = None
         for caller in [it for it in self.at.out if it.node is self]:
             self.at.leave(caller)
         if self.caller is not None:
@@ -119,7 +141,7 @@
     def _call(self, watch: int) -> None:
         if watch != self.active:
             return
-        if self.at.down or self.at.silent:
+        if self.at.down or self.at.silent or self.at is self.at_end:
             after = WIRE_NS if self.at.down else CONNECT_NS
             self.world.rule.lost(self.number, self.clock.time)
             self.clock.call_later(after, lambda: self._ended(watch, End.UNREACHED))
@@ -161,7 +183,9 @@
         if watch != self.active or self.dead:
             return
         self.last = how
-        if self.following.ended(how):
+        if self.next is not None:
+            self._turn(self.next)
+        elif self.following.ended(how):
             self._call(watch)
         else:
             self.active = 0
--- a/puffinpost/emulator/fleet/rule.py
+++ b/puffinpost/emulator/fleet/rule.py
@@ -11,7 +11,8 @@
   failed): then it counts as told what was true when that time began;
 - or, whatever else is allowed, 6 s have gone by since discovery had the change and could be reached, and the
   node's last call or watch failed, was refused or was given up (the standing page); so did the watch of the
-  process before it, where a process has taken the place of one that died.
+  process before it, where a process has taken the place of one that died;
+- or a new configuration named another discovery, which had the change, 4 s before (the pages of growth).
 
 Times are in ns on one clock. It is fed in the order of time, and says what it finds; it stops nobody.
 """
@@ -28,6 +29,7 @@
 GOES_ON_NS = 200 * MS
 TOLD_NS = 6_000 * MS  # after a call that may not wait
 AFTER_WAIT_NS = 2_000 * MS  # after the wait of one that may
+MOVED_NS = 4_000 * MS  # after a new configuration named another discovery
 FAILED_TIMES = 4
 
 
@@ -75,6 +77,7 @@
         self.quiet_ns = began_ns  # since when it has neither watched nor asked
         self.failed = False  # the last call did
         self.answered_ns: int | None = None  # the last answer to a watch
+        self.moved: list[tuple[Change, int]] = []  # what a new discovery had, and when that counts as told
 
     def tell(self, change: Change, at_ns: int) -> None:
         """It counts as told of a change at this time."""
@@ -162,6 +165,13 @@
         told.answered_ns = now_ns if told.watching else None
         self._over(told, now_ns)
 
+    def reloaded(self, node: int, source: Source, now_ns: int) -> None:
+        """A new configuration names this discovery to a node, where it can be reached."""
+        told = self.nodes[node]
+        if source.reach_ns is not None:
+            upto = [change for change in self.changes if change.number in source.had]
+            told.moved.extend((change, now_ns + MOVED_NS) for change in upto)
+
     def turned(self, node: int, source: Source) -> None:
         """A node asks another discovery from now on; it drops what it had asked."""
         self.nodes[node].source, self.nodes[node].lost = source, True
@@ -198,6 +208,8 @@
 
     def _settle(self, told: Told, now_ns: int) -> None:
         """Tells a node what it counts as told by now, though nobody wrote it."""
+        for change, by_ns in told.moved if told.moved and told.moved[0][1] <= now_ns else []:
+            told.tell(change, by_ns)
         for change in self.changes:
             known = told.known.get(change.server)
             if known is not None and known.number >= change.number:
--- a/puffinpost/emulator/fleet/world.py
+++ b/puffinpost/emulator/fleet/world.py
@@ -18,12 +18,14 @@
 
 
 class Fleet:
-    """The world. ``span_s``: how long it is played, in seconds; ``trouble``: what befalls it, in place of
-    what is drawn; the rest are faults to plant.
+    """The world. ``span_s``: how long it is played, in seconds. In place of what is drawn ``trouble``: what
+    befalls it, and ``bears``: in how many seconds discovery can answer a watch of each node. ``whole``: how
+    many times the work of a watch the whole list is. The rest are faults to plant.
     """
 
     def __init__(self, seed: int, nodes: int, span_s: float = 15.0, rest_s: float = 0.0,
-                 looks: bool = True, trouble: str = "", waits: bool = True) -> None:
+                 looks: bool = True, trouble: str = "", waits: bool = True, whole: float = 1.0,
+                 bears: float = 0.0) -> None:
         self.trouble = trouble
         self.clock, self.rule = Clock(), DrainRule()
         self.chance = chance = random.Random(seed)
@@ -32,7 +34,7 @@
         self.slow_dials = chance.choice((0.0, 0.3))
         self.per_s = chance.choice((1.0, 4.0)) if nodes <= 40 else 0.3
         self.span_ns = int(span_s * S)
-        cost_ns = int(S / chance.uniform(0.15, 4.0) / nodes)
+        cost_ns = int(bears * S / nodes) if bears else int(S / chance.uniform(0.15, 4.0) / nodes)
         self.discoveries = [
             Discovery(self.clock, self.rule, cost_ns), Discovery(self.clock, self.rule, cost_ns,
                                                                  int(chance.uniform(0, 1.0) * S), 1000),
@@ -41,7 +43,7 @@
         for discovery in self.discoveries:
             for it in self.entries.values():
                 discovery.entries[it.name] = (discovery.index, entry_of(it))
-            discovery.nodes = nodes
+            discovery.nodes, discovery.whole = nodes, whole
             discovery.work_at(cost_ns)
         settings = self._settings(nodes)
         self.settings, self.seed = settings, seed
@@ -93,7 +95,7 @@
             self._at(began, lambda: first.restart(chance.choice((1, 2, 5000))))
         elif trouble == "reload":
             for node in self.nodes:
-                self._at(began + chance.uniform(0, 0.02), partial(self._reload, node))
+                self._at(began + chance.uniform(0, 0.02), partial(node.reload, self.discoveries[1]))
         elif trouble == "slow":
             self._at(began, lambda: first.work_at(first.cost_ns * 10))
             self._at(ends, lambda: first.work_at(first.cost_ns // 10))
@@ -112,10 +114,6 @@
         self.rule.again(number, self.clock.time)
         node.start(known)
 
-    def _reload(self, node: FleetNode) -> None:
-        after_ns = node.core.balancer.asking.redirect_ns()
-        self.clock.call_later(after_ns, partial(node.redirect, self.discoveries[1]))
-
     def _change(self) -> None:
         """A batch: some drain, some go, some are back, a few within milliseconds."""
         chance = self.chance
--- a/puffinpost/following/calls.py
+++ b/puffinpost/following/calls.py
@@ -126,5 +126,11 @@
         return how is End.SILENT
 
     def redirected(self) -> None:
-        """Another discovery is asked from now on; it may count otherwise."""
-        self.whole, self.doubt, self.check_ns = True, False, None
+        """Another discovery is asked from now on; it may count otherwise, so the whole list is asked for.
+
+        All nodes of a fleet may hear of it within seconds, and whole lists for all of them are more than
+        discovery can write in the time that is left. So a large fleet asks for what is newer first: a version
+        that is behind is seen at once, and the whole list makes sure later.
+        """
+        self.doubt = self.asking.shared
+        self.whole, self.check_ns = not self.doubt, None
--- a/puffinpost/inventory.py
+++ b/puffinpost/inventory.py
@@ -81,7 +81,7 @@
                 if known is None:
                     continue
                 line = api.ServerLine(known, 0, 0, 0, api.Status.GONE, 1.0, self._started.get(known, 0))
-            if index < self.index or (full and self.another):
+            if index < self.index or self.another:
                 line = self._newer_of(line)
             lines.append(line)
         if full:
--- a/puffinpost/net/discovery.py
+++ b/puffinpost/net/discovery.py
@@ -35,7 +35,9 @@
         self.trace: Callable[[str], None] | None = None  # told of each call and how it ended
         self.last: End | None = None  # how the last watch ended
         self._task: asyncio.Task[None] | None = None
-        self._turning: asyncio.TimerHandle | None = None  # another address is waited for
+        # Another address, until the moment to turn to it has come, and who is told then.
+        self._turning: asyncio.TimerHandle | None = None
+        self._next: tuple[tuple[str, int], Callable[[], None]] | None = None
         # Calls that were given up as silent stay open until another is answered: discovery may hold that
         # this node watches still. What is written on them counts as told, so they are read.
         self._late: list[asyncio.Task[None]] = []
@@ -47,9 +49,7 @@
 
     def stop(self) -> None:
         """Watches no more, and is not told of it."""
-        if self._turning is not None:
-            self._turning.cancel()
-            self._turning = None
+        self._stay()
         if self._task is not None:
             self._task.cancel()
             self._task = None
@@ -62,30 +62,45 @@
 
     def redirect(self, address: tuple[str, int], after_ns: int = 0,
                  turned: Callable[[], None] = lambda: None) -> None:
-        """Leaves an address for another, which is asked for the whole list ``after_ns`` from now: until then
-        the old one is watched. ``turned`` is called as it is left.
+        """Leaves an address for another, which is asked ``after_ns`` from now: until then the old one is
+        watched, as long as it goes on. ``turned`` is called as it is left.
 
-        The call that was out is dropped unanswered: what it would have told, the list holds.
+        The call that was out is dropped unanswered: what it would have told, the new one tells too.
         """
-        if self._turning is not None:
-            self._turning.cancel()
-            self._turning = None
+        if self._next is not None and self._next[0] == address:
+            return  # it is on its way there
+        self._stay()
         if address == self.address:
             self.start()
-        elif after_ns:
-            self._turning = asyncio.get_running_loop().call_later(after_ns / 1e9, self._turn, address, turned)
+            return
+        self._next = address, turned
+        if after_ns and self._task is not None:
+            self._turning = asyncio.get_running_loop().call_later(after_ns / 1e9, self._turn)
         else:
-            self._turn(address, turned)
+            self._turn()
 
-    def _turn(self, address: tuple[str, int], turned: Callable[[], None]) -> None:
-        self._turning = None
-        self.address = address
+    def _stay(self) -> None:
+        """Turns nowhere any more."""
+        if self._turning is not None:
+            self._turning.cancel()
+        self._turning = self._next = None
+
+    def _turned(self) -> bool:
+        """Takes up the address that is to come, now; False where there is none."""
+        if self._next is None:
+            return False
+        self.address, turned = self._next
+        self._stay()
+        self._keep(0)
         self.following.redirected()
         turned()
+        return True
+
+    def _turn(self) -> None:
+        self._turned()
         if self._task is not None:
             self._task.cancel()
             self._task = None
-        self._keep(0)
         self.start()
 
     def _keep(self, most: int) -> None:
@@ -109,7 +124,8 @@
 
     async def _run(self) -> None:
         self.last = await self._watch()
-        while self.following.ended(self.last):
+        # One that is to be left and has ended is asked no more: it takes no new connection.
+        while self._turned() or self.following.ended(self.last):
             self.last = await self._watch()
         self._task = None
         self.failed()
--- a/tests/test_drain_rule.py
+++ b/tests/test_drain_rule.py
@@ -70,6 +70,24 @@
         assert fleet.rule.breaches == [] and fleet.twice == 0, (seed, fleet.rule.breaches[:3])
 
 
+DEAR: dict[str, Any] = {"trouble": "reload", "span_s": 20, "whole": 40.0, "bears": 0.2}
+
+
+@pytest.mark.parametrize("seed", [*range(6), 8])
+def test_a_new_discovery_is_followed_in_time_where_the_whole_list_is_dear(seed: int) -> None:
+    """Whole lists for all nodes take it 8 s, and what it has counts as told 4 s after the signal."""
+    fleet = Fleet(seed, 200 if seed % 2 else 100, **DEAR).run()
+    assert fleet.rule.breaches == [] and fleet.twice == 0 and fleet.rule.sends > 400
+
+
+def test_a_new_discovery_that_all_ask_for_the_whole_list_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    def redirected(machine: Following) -> None:
+        machine.whole, machine.doubt, machine.check_ns = True, False, None
+
+    monkeypatch.setattr(Following, "redirected", redirected)
+    assert Fleet(8, 100, **DEAR).run().rule.breaches
+
+
 def broken(seeds: range, **planted: Any) -> bool:
     return any(Fleet(seed, size(seed), **planted).run().rule.breaches for seed in seeds)
 
@@ -211,9 +229,14 @@
         assert machine.call(7, 0).after == 7 and machine.call(7, 10 * S).after is None
         machine.answered(True, MS, 10 * S)
         assert watches(machine.call(8, 10 * S), 8)
-    machine.ended(End.FAILED)
-    machine.answered(False, 500 * MS, 0, behind=True)  # it has started over
-    assert machine.call(7, 0).after is None
+    for lost in (lambda: machine.ended(End.FAILED), machine.redirected):
+        lost()
+        assert machine.call(7, 0) == Call(7, 500, 3_000 * MS)
+        machine.answered(False, 500 * MS, 0, behind=True)  # it has started over
+        assert machine.call(7, 0).after is None
+    machine.redirected()
+    machine.answered(True, MS, 0)
+    assert machine.call(9, 0).after == 9 and machine.call(9, 10 * S).after is None
 
 
 def test_a_small_fleet_asks_for_the_whole_list_after_a_failure() -> None:
@@ -252,14 +275,15 @@
             "since_ms": since_ms}
 
 
+@pytest.mark.parametrize("whole", [False, True])
 @pytest.mark.parametrize("left_out", [False, True])
-def test_another_discovery_that_is_behind_takes_back_no_drain(left_out: bool) -> None:
+def test_another_discovery_that_is_behind_takes_back_no_drain(left_out: bool, whole: bool) -> None:
     inventory = Inventory(("z",), ("k",))
     inventory.take({"index": 3, "snapshot": True, "endpoints": [entry("up")]})
     gone = [] if left_out else [entry("draining")]
     inventory.take({"index": 4, "snapshot": True, "endpoints": gone})
     inventory.another = True
-    inventory.take({"index": 900, "snapshot": True, "endpoints": [entry("up")]})
+    inventory.take({"index": 900, "snapshot": whole, "endpoints": [entry("up")]})
     server = inventory.identify("a")
     assert not inventory.takes_work(server)
     inventory.take({"index": 901, "snapshot": False, "endpoints": [entry("up", 5)]})
@@ -344,10 +368,12 @@
         "index": 1, "snapshot": True, "endpoints": []}
 
 
-def test_the_old_discovery_is_watched_until_the_turn() -> None:
-    """A large fleet turns to a new one at drawn moments."""
+@pytest.mark.parametrize("ends", [False, True])
+def test_the_old_discovery_is_watched_until_the_turn_or_its_end(ends: bool) -> None:
+    """A large fleet turns to a new one at drawn moments. One that has ended is not asked again."""
     async def play() -> list[str]:
         asked: list[str] = []
+        last: list[asyncio.StreamWriter] = []
         again = asyncio.Event()
 
         async def listening(name: str) -> asyncio.Server:
@@ -355,8 +381,10 @@
                 await reader.readuntil(b"\r\n\r\n")
                 asked.append(name)
                 again.set()
-                ends = await reader.read()
-                asked.append(f"{name} left{ends.decode()}")
+                if name == "old":
+                    last.append(writer)
+                said = await reader.read()
+                asked.append(f"{name} left{said.decode()}")
                 writer.close()
             return await asyncio.start_server(serve, "127.0.0.1", 0)
 
@@ -371,9 +399,13 @@
         watch.start()
         await wait("old")
         turned: list[list[str]] = []
-        watch.redirect(new.sockets[0].getsockname()[:2], 200 * MS, lambda: turned.append(list(asked)))
+        after_ns = 3600 * S if ends else 200 * MS
+        watch.redirect(new.sockets[0].getsockname()[:2], after_ns, lambda: turned.append(list(asked)))
+        if ends:
+            watch.redirect(new.sockets[0].getsockname()[:2], after_ns)  # once more: it is on its way there
+            last[0].close()
         await wait("new")
-        assert turned == [["old"]]
+        assert turned in ([["old"]], [["old", "old left"]] if ends else [["old"]])
         watch.stop()
         await wait("old left")
         old.close()
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -9,6 +9,7 @@
 import pytest
 from conftest import World
 from standins import SETTINGS, Discovery, Node, Peer
+from test_endings import all_served, heard, unasked
 from test_node import OPEN, first_of, fresh, served
 
 
@@ -45,6 +46,24 @@
     assert node.counts()["cfg_accepted"] == 2
 
 
+def test_a_large_fleet_asks_a_new_discovery_for_what_is_newer_once_the_old_one_ends(world: World) -> None:
+    """Whole lists for 200 nodes would take it longer than the 4 s after which it counts as told."""
+    for number, server in enumerate(world.servers):
+        world.discovery.tell(f"s-{number}", server.address)
+    successor = Discovery()
+    successor.index, successor.entries = world.discovery.index, dict(world.discovery.entries)
+    node = world.start(transcribers=0, settings={"FleetSize": 200})
+    heard(world.discovery)
+    world.discovery.server.socket.close()  # it takes no new connection ...
+    began = time.monotonic()
+    node.reload(discovery=successor.server.address)
+    Peer(world.discovery.links[-1]).close("reset")  # ... and ends the one that there is
+    successor.tell("s-0", world.servers[0].address, "draining")
+    successor.wait_calls(2)
+    assert time.monotonic() - began < 1.5 and successor.asked[:2] == [2, 3]
+    assert all_served(node, world.servers[1], 3) and unasked(world.servers[0])
+
+
 @pytest.mark.parametrize("form", ["503", "silent"])
 def test_a_discovery_that_comes_late_is_asked_until_it_answers(world: World, form: str) -> None:
     """What it has to tell counts as told 4 s after the signal: a call without an answer ends before."""
