A transcriber that is told to leave while a probe is dialled gets no probe

Change: after a dial it looks once more; what is not written ends as MOOT, which says nothing of the transcriber's health.

--- a/puffinpost/decisions/health.py
+++ b/puffinpost/decisions/health.py
@@ -33,7 +33,7 @@
 
     def on_probe(self, server: Server, event: ProbeResult) -> None:
         """Judges a server by its probe; what the report says is for others."""
-        if event.result not in (Result.SERVED, Result.REJECTED):
+        if event.result not in (Result.SERVED, Result.REJECTED, Result.MOOT):
             self.fault(server)
         if event.result in UNHEARD and event.took_ns >= self.books.settings.dial_timeout_ns:
             server.silence.missed += 1
--- a/puffinpost/net/probes.py
+++ b/puffinpost/net/probes.py
@@ -80,6 +80,9 @@
             return Result.CONNECT_FAILED, ()
         # Guards against a transcriber that closes an idle connection: without this the end is unseen.
         link.stream.set_close_callback(lambda: None)
+        if not self._wanted(server):
+            link.close()  # it was told to leave while this was dialled: it gets nothing new
+            return Result.MOOT, ()
         return await self._on(server, address, link)
 
     async def _on(self, server: ServerId, address: Address, link: Link) -> tuple[Result, tuple[float, ...]]:
