Bad input is logged with who sent it, counted, and held to a few lines a second

Change: each names its peer (HOST:PORT, or the transcriber), `xmpp_bad_streams` and `bad_answers` count what had no counter, and all have the share of what others can cause at will.

--- a/puffinpost/fronts/mqtt.py
+++ b/puffinpost/fronts/mqtt.py
@@ -199,7 +199,7 @@
 
     def _bad(self, problem: MqttError) -> None:
         self.core.counters.add("mqtt_bad_packets")
-        log.say(f"bad packet from an MQTT client: {problem}", often=True)
+        log.say(f"bad packet from an MQTT client at {log.place(self.link.peer)}: {problem}", often=True)
         if self.device is None and self.parser.version:
             self._refuse(problem.reason)
         else:
@@ -572,6 +572,7 @@
             return Reason.TOPIC_INVALID, f"answers go to {ANSWER} or below it"
         if self.qos_for(where) is None or self.qos_for(DOWN) is None:
             return Reason.NOT_AUTHORIZED, f"subscribe to {where} and {DOWN} first"
+        peer = self.on.link.peer if self.on is not None else ("0.0.0.0", 0)
         try:
             opening = lines.parse_opening(packet.payload + b"\r\n")
             if opening.at is not None:
@@ -581,10 +582,10 @@
                 return Reason.SUCCESS, ""
             if self.exchange is not None:
                 return Reason.QUOTA, "a client has one session at a time"
-            peer = self.on.link.peer if self.on is not None else ("0.0.0.0", 0)
             message = message_of(self.core, opening, peer)
         except lines.LineError as problem:
             self.core.counters.add("bad_lines")
+            log.say(f"bad line from a device at {log.place(peer)}: {problem}", often=True)
             return Reason.PAYLOAD_INVALID, str(problem)
         self.asked, self.answer = (where, packet.properties.get("correlation_data")), b""
         self.opening, self.last_ident = opening, opening.ident
--- a/puffinpost/fronts/platform.py
+++ b/puffinpost/fronts/platform.py
@@ -149,7 +149,7 @@
     def _bad(self, problem: str) -> None:
         """Ends a connection whose client wrote what cannot be taken. Nothing of it reaches a transcriber."""
         self.core.counters.add("bad_lines")
-        log.say(f"bad line from a client: {problem}", often=True)
+        log.say(f"bad line from a client at {log.place(self.link.peer)}: {problem}", often=True)
         exchange = self.exchange
         if exchange is not None and not self.over:
             self.core.gone(exchange)
--- a/puffinpost/fronts/transcriber.py
+++ b/puffinpost/fronts/transcriber.py
@@ -93,7 +93,9 @@
                 else:
                     self._answer(line)
         except lines.LineError as problem:
-            log.say(f"bad line from {self.core.inventory.name(self.relay.server)}: {problem}")
+            self.core.counters.add("bad_answers")
+            name = self.core.inventory.name(self.relay.server)
+            log.say(f"bad line from transcriber {name}: {problem}", often=True)
             self.broke()
 
     def _answer(self, line: bytes) -> None:
--- a/puffinpost/fronts/xmpp.py
+++ b/puffinpost/fronts/xmpp.py
@@ -131,6 +131,10 @@
     def received(self, data: bytes) -> None:
         self.front.places.heard(self)
         self.stream.feed(data)
+        if self.stream.failed:
+            self.core.counters.add("xmpp_bad_streams")
+            where = log.place(self.link.peer)
+            log.say(f"bad stream from an XMPP client at {where}: {self.stream.failed}", often=True)
         if not self.greeted and self.stream.headed and not self.stream.over:
             self.greeted = True
             self.front.places.enter(self, NEGOTIATION_S)
@@ -498,6 +502,7 @@
                 raise BadRequest("something stands before open")
         except BadRequest as problem:
             self.core.counters.add("bad_lines")
+            log.say(f"bad session from an XMPP client at {log.place(self.peer)}: {problem}", often=True)
             said = f"<text xmlns='{xmpp.STANZA_ERRORS}' xml:lang='en'>{xmpp.escape(str(problem))}</text>"
             self._refuse_stanza(element, "modify", "bad-request", said)
             return
--- a/puffinpost/log/__init__.py
+++ b/puffinpost/log/__init__.py
@@ -105,6 +105,11 @@
         _write({"event": text, OFTEN: often, **fields})
 
 
+def place(peer: tuple[str, int]) -> str:
+    """Where a peer is, as a line names it."""
+    return f"{peer[0]}:{peer[1]}"
+
+
 def trace(text: str) -> None:
     """A line of a message's trace, in the log's form: never dropped, for it is on only where asked for."""
     event = {"event": text}
--- a/puffinpost/protocol/xmpp_stream.py
+++ b/puffinpost/protocol/xmpp_stream.py
@@ -53,6 +53,7 @@
         self.secure = False
         self.upgrading = False  # to TLS: what still comes in the clear is dropped
         self.over = False
+        self.failed = ""  # the condition of the error that ended it
         self.bound = ""
         self.prefixes: Mapping[str, str] = {}
         self.peer_id = ""
@@ -97,6 +98,7 @@
     def fail(self, condition: str, text: str = "") -> None:
         """Ends the stream with an error."""
         if not self.over:
+            self.failed = f"{condition} {text}".rstrip()
             self.owner.stream_write(xmpp.stream_error(condition, text))
             self._end(False)
 
