--- a/puffinpost/emulator/fleet/node.py
+++ b/puffinpost/emulator/fleet/node.py
@@ -143,7 +143,6 @@
             return
         if self.at.down or self.at.silent or self.at is self.at_end:
             after = WIRE_NS if self.at.down else CONNECT_NS
-            self.world.rule.lost(self.number, self.clock.time)
             self.clock.call_later(after, lambda: self._ended(watch, End.UNREACHED))
             return
         began = self.clock.time
--- a/puffinpost/emulator/fleet/rule.py
+++ b/puffinpost/emulator/fleet/rule.py
@@ -9,9 +9,9 @@
   200 ms after the last answer to it;
 - or the node has neither watched nor asked for ``Rules.AskWithinNs`` (four times that after a call that
   failed): then it counts as told what was true when that time began;
-- or, whatever else is allowed, 6 s have gone by since discovery had the change and could be reached, and the
-  node's last call or watch failed, was refused or was given up (the standing page); so did the watch of the
-  process before it, where a process has taken the place of one that died;
+- or, whatever else is allowed, 6 s have gone by since discovery had the change and could be reached. The
+  standing page says so of a call that failed, was refused or given up; it is held in every case, also for a
+  process that has taken the place of one that died;
 - or a new configuration named another discovery, which had the change, 4 s before (the pages of growth).
 
 Times are in ns on one clock. It is fed in the order of time, and says what it finds; it stops nobody.
@@ -69,7 +69,6 @@
     def __init__(self, began_ns: int, ask_within_ns: int, source: Source | None = None) -> None:
         self.ask_within_ns = ask_within_ns
         self.source = source
-        self.lost = False  # no answer since a call that failed, was refused or was given up
         self.known: dict[str, Change] = {}  # the newest change of each transcriber that it was told
         self.down_ns: dict[str, int] = {}  # since when those count as told to be down
         self.watching = False
@@ -94,7 +93,7 @@
         """When the node counts as told of a change that was never written to it; None: not yet known."""
         if self.answered_ns is not None and self.answered_ns <= change.at_ns < self.answered_ns + GOES_ON_NS:
             return change.at_ns
-        known = [at_ns for at_ns in (self._by_silence(change), self._by_loss(change)) if at_ns is not None]
+        known = [at_ns for at_ns in (self._by_silence(change), self._by_reach(change)) if at_ns is not None]
         return min(known, default=None)
 
     def _by_silence(self, change: Change) -> int | None:
@@ -107,7 +106,7 @@
         span = self.ask_within_ns * (FAILED_TIMES if self.failed else 1)
         return max(change.at_ns, self.quiet_ns) + span if span else None
 
-    def _by_loss(self, change: Change) -> int | None:
+    def _by_reach(self, change: Change) -> int | None:
         if self.source is None or self.source.reach_ns is None:
             return None
         had_ns = self.source.had.get(change.number)
@@ -133,7 +132,7 @@
         """A process takes the place of one that died, with the list that this one had."""
         before = self.nodes[number]
         told = self.nodes[number] = Told(began_ns, before.ask_within_ns, before.source)
-        told.known, told.down_ns, told.lost = dict(before.known), dict(before.down_ns), True
+        told.known, told.down_ns = dict(before.known), dict(before.down_ns)
 
     def changed(self, server: str, takes_work: bool, now_ns: int) -> Change:
         """The true list changes."""
@@ -158,7 +157,6 @@
         for change in self.changes[:upto]:
             if named is None or change.server in named:
                 told.tell(change, now_ns)
-        told.lost = False
         if later:
             told.calls = told.calls[-1:]
             return
@@ -174,18 +172,13 @@
 
     def turned(self, node: int, source: Source) -> None:
         """A node asks another discovery from now on; it drops what it had asked."""
-        self.nodes[node].source, self.nodes[node].lost = source, True
-
-    def lost(self, node: int, now_ns: int) -> None:
-        """A node's call reached nobody."""
-        self._settle(self.nodes[node], now_ns)
-        self.nodes[node].lost = True
+        self.nodes[node].source = source
 
     def failed(self, node: int, now_ns: int) -> None:
         """A call ended without a list, for both sides to see."""
         told = self.nodes[node]
         self._settle(told, now_ns)
-        told.failed, told.answered_ns, told.lost = True, None, True
+        told.failed, told.answered_ns = True, None
         self._over(told, now_ns)
 
     def watches_end(self) -> None:
