review: a case that cannot run exits with 2, and a stopped script ends its nodes

Cause: a missing deploy file ended a script with 1, which says that the rule was broken; SIGTERM to a script left the nodes that it had started.

Change: review/harness.py reads the deploy file within the case, ends everything on SIGTERM, SIGINT, SIGHUP and its time limit, and starts no node after the end.

--- a/review/harness.py
+++ b/review/harness.py
@@ -28,7 +28,6 @@
 from typing import Any
 
 ROOT = Path(__file__).resolve().parent.parent
-RUN_COMMAND = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
 HOST = "127.0.0.1"
 LIMIT_S = 110  # for a whole script
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit codes
@@ -395,9 +394,11 @@
             environ["GW_EDGE"] = str(edge_path)
         if inherited is not None:
             environ["GW_INHERITED_FD"] = str(inherited.fileno())
-        with self.log_path.open("wb") as log_file:
+        with world.starting, self.log_path.open("wb") as log_file:
+            if world.over:
+                raise CannotRunError("the case is over")
             self.process = subprocess.Popen(
-                ["/bin/sh", "-c", RUN_COMMAND],
+                ["/bin/sh", "-c", world.run_command],
                 cwd=ROOT,
                 stdin=subprocess.DEVNULL,
                 stdout=log_file,
@@ -405,8 +406,8 @@
                 env=environ,
                 pass_fds=() if inherited is None else (inherited.fileno(),),
             )
+            world.nodes.append(self)
         self.record.add(self.label, f"started, process {self.process.pid}, console {self.console_port}")
-        world.nodes.append(self)
 
     def call(self, method: str, path: str) -> int:
         """Makes a call to the console; returns the status, 0 if there was no answer."""
@@ -446,8 +447,11 @@
     def __init__(self, case_folder: Path) -> None:
         self.record = Record(case_folder / "record.txt")
         self.record.add("case", f"{case_folder.name}, TROUBLE={int(TROUBLE)}")
+        self.run_command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         self.folder = Path(tempfile.mkdtemp(prefix="case-"))
         self.nodes: list[Node] = []
+        self.starting = threading.Lock()  # held while a node is started; nothing starts after the end
+        self.over = False
         self.discovery = Discovery(self.record)
         self.transcribers: dict[str, Transcriber] = {}
 
@@ -460,6 +464,8 @@
 
     def close(self) -> None:
         """Ends everything that was started, and adds the nodes' logs to the record."""
+        with self.starting:
+            self.over = True
         for node in self.nodes:
             node.end()
             for line in node.log_path.read_text(errors="replace").splitlines():
@@ -494,32 +500,43 @@
 
 @contextlib.contextmanager
 def _time_limit() -> Iterator[None]:
-    def on_alarm(_number: int, _frame: object) -> None:
-        raise CannotRunError(f"not over after {LIMIT_S} s")
+    numbers = (signal.SIGALRM, signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
-    signal.signal(signal.SIGALRM, on_alarm)
+    def on_signal(number: int, _frame: object) -> None:
+        for each in numbers:  # the end is not interrupted
+            signal.signal(each, signal.SIG_IGN)
+        name = signal.Signals(number).name
+        raise CannotRunError(f"not over after {LIMIT_S} s" if name == "SIGALRM" else f"ended by {name}")
+
+    for each in numbers:
+        signal.signal(each, on_signal)
     signal.alarm(LIMIT_S)
-    try:
-        yield
-    finally:
-        signal.alarm(0)
+    yield
+    signal.alarm(0)
+    for each in numbers:
+        signal.signal(each, signal.SIG_IGN)
 
 
 def main(case_file: str, play: Callable[[World], list[str]]) -> None:
     """Plays a case and exits: 1 if ``play`` returned breaches of the rule, 0 if none, 2 if not run."""
-    world = World(Path(case_file).resolve().parent)
+    world: World | None = None
     code = NOT_RUN
     try:
         with _time_limit():
+            world = World(Path(case_file).resolve().parent)
             breaches = play(world)
         for breach in breaches:
             world.record.add("RULE BROKEN", breach)
         code = BROKEN if breaches else HELD
     except Exception:  # noqa: BLE001 (whatever keeps a case from its end is reported as exit code 2)
-        world.record.add("case", f"could not run: {traceback.format_exc()}")
+        if world is None:
+            traceback.print_exc()
+        else:
+            world.record.add("case", f"could not run: {traceback.format_exc()}")
     finally:
-        world.close()
-        world.record.add("case", f"exit code {code}")
+        if world is not None:
+            world.close()
+            world.record.add("case", f"exit code {code}")
     print(f"{Path(case_file).resolve().parent.name}: exit code {code}", flush=True)
     sys.stdout.flush()
     os._exit(code)
