A node of a cluster that turns to another source withdraws its earlier report

Cause: a source counts a node's report until it expires (the length of a lease), also once the node reports to another source. A node turns by itself, once in twenty requests, where the leader changes, and as it becomes leader. Besides, renew_soon had no effect until the next tick that was due anyhow: the driver set its timer after ticks only.

Change: a node sends the source it leaves a lease request with an empty summary, which drops its report; the form on the wire is the same, and an earlier version counts it as a report of no node. A source that does not answer is not told: its notifications may be all that reaches the node. Messages bring the next tick forward, in the driver and on the virtual clock. The encoding of newer documents and the versions acted on stand once, in ActiveVersions.

--- a/puffinpost/cluster/consensus_driver.py
+++ b/puffinpost/cluster/consensus_driver.py
@@ -136,8 +136,18 @@
     def _tick(self) -> None:
         self.member.tick(self.clock())
         self.writer.submit(self.member.take_output())
+        self._schedule(self._due_in_s())
+
+    def _due_in_s(self) -> float:
         delay_s = (self.member.next_due_ns() - self.clock()) / NS_PER_S / self.config.clock_rate
-        self._schedule(max(MIN_TICK_INTERVAL_S, delay_s))
+        return max(MIN_TICK_INTERVAL_S, delay_s)
+
+    def _tick_by_due_time(self) -> None:
+        """Brings the next tick forward if a message has made something due before it."""
+        due_in_s = self._due_in_s()
+        if self.timer is not None and asyncio.get_running_loop().time() + due_in_s < self.timer.when():
+            self.timer.cancel()
+            self._schedule(due_in_s)
 
     def _tick_guarded(self) -> None:
         try:
@@ -168,6 +178,7 @@
             self.count("cluster_exceptions")
             log.exception("consensus message failed")
         self.writer.submit(self.member.take_output())
+        self._tick_by_due_time()
 
     def _on_written(self, output: Output) -> None:
         """Sends the messages of an output that is on disk, and lets the member act on it."""
--- a/puffinpost/consensus/active_versions.py
+++ b/puffinpost/consensus/active_versions.py
@@ -9,6 +9,8 @@
 from enum import StrEnum
 from typing import Any
 
+import msgspec
+
 from puffinpost.consensus.documents import SETTINGS, Document, Version, proposal_id_of, version_for_node
 from puffinpost.consensus.lease import Lease
 from puffinpost.consensus.retained_classes import retained_classes_of
@@ -63,6 +65,19 @@
         document = self.documents.get(name)
         return version_for_node(self.node, document) if document is not None else None
 
+    def versions(self) -> dict[str, Version]:
+        """Returns by document the version that this node acts on."""
+        versions = ((name, self.version(name)) for name in self.documents)
+        return {name: version for name, version in versions if version is not None}
+
+    def encoded_documents_newer_than(self, indexes: dict[str, int]) -> tuple[bytes, ...]:
+        """Returns the documents that changed after the given log indexes, encoded for a follower."""
+        return tuple(
+            msgspec.msgpack.encode(document)
+            for document in self.documents.values()
+            if document.changed_index > indexes.get(document.name, 0)
+        )
+
     def changed_indexes(self) -> dict[str, int]:
         """Returns by document the log index of its last change."""
         return {name: document.changed_index for name, document in self.documents.items()}
--- a/puffinpost/consensus/followers.py
+++ b/puffinpost/consensus/followers.py
@@ -39,10 +39,17 @@
         return len(non_preferring) >= self.config.fanout - self.config.preferred_follower_limit
 
     def record_request(self, sender: str, summary: Summary, now: int, link: Any) -> bool:
-        """Records a request; returns whether the counts of nodes ready for a proposal have changed."""
-        before = self.summaries.get(sender)
+        """Records a request; returns whether the number of nodes or the ready ones have changed."""
+        _, before = self.summaries.get(sender, (now, None))
         self.summaries[sender], self.links[sender] = (now, summary), link
-        return before is not None and before[1].ready_counts != summary.ready_counts
+        if before is None:
+            return False
+        return (before.node_count, before.ready_counts) != (summary.node_count, summary.ready_counts)
+
+    def withdraw(self, sender: str) -> bool:
+        """Drops the summary of a node that reports to another source now; returns whether there was one."""
+        self.links.pop(sender, None)
+        return self.summaries.pop(sender, None) is not None
 
     def notification_links(self) -> list[Any]:
         """Returns the links on which changed documents are sent."""
--- a/puffinpost/consensus/lease_renewal.py
+++ b/puffinpost/consensus/lease_renewal.py
@@ -26,8 +26,9 @@
         self.sources = config.sources()
         self.source_index = 0
         self.due_ns = self.requested_at_ns = now
-        self.source_responsive = True
+        self.source_responsive = self.last_source_responsive = True
         self.empty_replies = 0
+        self.reported_to = ""  # the source that may hold this node's last report; empty if none does
 
     def schedule_next(self, now: int) -> None:
         """Draws the time of the next request."""
@@ -39,6 +40,7 @@
 
     def begin_request(self, raft: Raft | None, now: int) -> str:
         """Returns the source to send a request to now; empty if there is none."""
+        self.last_source_responsive = self.source_responsive
         if not self.source_responsive:
             self.source_index, self.empty_replies = self.source_index + 1, 0
         elif self.rng.random() < PREFERRED_SOURCE_PROBABILITY:
@@ -50,6 +52,15 @@
             sources = tuple(dict.fromkeys([raft.leader, *sources]))
         return sources[self.source_index % len(sources)] if sources else ""
 
+    def report_to(self, source: str) -> str:
+        """Records the source of the next report, empty for none; returns one to withdraw the last from.
+
+        A report is not withdrawn from a source that did not answer in time: its notifications may be all that
+        reaches this node.
+        """
+        previous, self.reported_to = self.reported_to, source
+        return previous if previous != source and self.last_source_responsive else ""
+
     def accept_reply(self, reply: LeaseReply) -> bool:
         """Whether a reply grants a lease: it answers the last request, and its source holds a lease."""
         if reply.requested_at_ns != self.requested_at_ns or reply.at_capacity:
--- a/puffinpost/consensus/member.py
+++ b/puffinpost/consensus/member.py
@@ -43,6 +43,8 @@
 from puffinpost.consensus.summary import StagedResponseCounts, combine_summaries, summarize_node
 from puffinpost.consensus.voters import bootstrap_voters
 
+NOT_REQUESTED_NS = 0  # the request's time in a message that neither requests a lease nor answers a request
+
 
 class Member:
     """A node. ``persistent_state``: the state that it had on disk; None for a node that only follows.
@@ -193,13 +195,9 @@
 
     def summary(self, now: int) -> Summary:
         """Returns what this node and all of its followers report."""
-        active_versions = self.active_versions
-        local_summary = summarize_node(self.config.name, active_versions, self.response_counts, now)
-        current = {
-            name: f"{name}@{version.number}"
-            for name in active_versions.documents
-            if (version := active_versions.version(name)) is not None
-        }
+        local_summary = summarize_node(self.config.name, self.active_versions, self.response_counts, now)
+        versions = self.active_versions.versions().items()
+        current = {name: f"{name}@{version.number}" for name, version in versions}
         return combine_summaries([(local_summary, 0), *self.followers.recent_summaries(now)], current)
 
     # --- voting and applying --------------------------------------------------------------------------
@@ -236,7 +234,7 @@
             return
         self.renewal.renew_soon(self.now)
         encoded = tuple(msgspec.msgpack.encode(document) for document in documents)
-        notification = LeaseReply(0, 0, encoded, self.leader)
+        notification = LeaseReply(NOT_REQUESTED_NS, 0, encoded, self.leader)
         self._replies += [(link, notification) for link in self.followers.notification_links()]
 
     # --- leases ---------------------------------------------------------------------------------------
@@ -244,21 +242,34 @@
     def _renew_lease(self, now: int) -> None:
         self.renewal.schedule_next(now)
         if self.raft is not None and self.raft.role is Role.LEADER:
+            self._withdraw_report(self.renewal.report_to(""))
             return
         source = self.renewal.begin_request(self.raft, now)
+        self._withdraw_report(self.renewal.report_to(source))
         if source:
             indexes, proposals = self.active_versions.changed_indexes(), self.proposals.next_batch()
             self._messages.append((source, LeaseRequest(now, indexes, self.summary(now), proposals)))
 
+    def _withdraw_report(self, source: str) -> None:
+        """Sends an earlier source an empty summary: it would count this node until the report expires."""
+        if source:
+            indexes = self.active_versions.changed_indexes()
+            self._messages.append((source, LeaseRequest(NOT_REQUESTED_NS, indexes, Summary())))
+
     def _on_lease_request(self, sender: str, request: LeaseRequest, now: int, reply_to: Any) -> None:
+        if request.summary.is_empty:
+            if self.followers.withdraw(sender):
+                self.renewal.renew_soon(now)
+            return
         at_capacity = self.followers.at_capacity(sender)
+        remaining_ns, changed = 0, tuple[bytes, ...]()
         if not at_capacity:
             if self.followers.record_request(sender, request.summary, now, reply_to):
                 self.renewal.renew_soon(now)
             for proposal in request.proposals:
                 self.propose(proposal)
-        remaining_ns = 0 if at_capacity else self.active_versions.lease.remaining_ns(now)
-        changed = () if at_capacity else self._documents_newer_than(request.document_indexes)
+            remaining_ns = self.active_versions.lease.remaining_ns(now)
+            changed = self.active_versions.encoded_documents_newer_than(request.document_indexes)
         if InjectedFault.STALE_READ in self.config.faults:
             remaining_ns = self.config.lease_duration_ns
         if InjectedFault.LOST_VERSION in self.config.faults and request.document_indexes:
@@ -271,16 +282,8 @@
         reply = LeaseReply(request.requested_at_ns, remaining_ns, changed, self.leader, at_capacity, outcomes)
         self._replies.append((reply_to, reply))
 
-    def _documents_newer_than(self, indexes: dict[str, int]) -> tuple[bytes, ...]:
-        return tuple(
-            msgspec.msgpack.encode(document)
-            for document in self.active_versions.documents.values()
-            if document.changed_index > indexes.get(document.name, 0)
-        )
-
     def _on_lease_reply(self, reply: LeaseReply) -> None:
-        is_notification = reply.requested_at_ns == 0
-        if is_notification:
+        if reply.requested_at_ns == NOT_REQUESTED_NS:  # a notification
             self._on_changed_documents(reply)
         elif self.renewal.accept_reply(reply):
             self.leader = reply.leader or self.leader
--- a/puffinpost/consensus/messages.py
+++ b/puffinpost/consensus/messages.py
@@ -176,12 +176,18 @@
     response_count: int = 0
     failure_count: int = 0
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether it counts no node, which withdraws the summary that the sender reported before."""
+        return self.node_count == 0
+
 
 class LeaseRequest(MessageBase, tag="Renew"):
     """A follower's request to its source to confirm that its documents are current.
 
     ``requested_at_ns``: the follower's clock; the reply returns it. ``document_indexes``: by document, the
-    log index of its last change.
+    log index of its last change. With an empty ``summary`` it requests no lease: the sender has chosen
+    another source. A node of an earlier version takes it for a report of no node, and replies in vain.
     """
 
     requested_at_ns: int
--- a/puffinpost/consensus/summary.py
+++ b/puffinpost/consensus/summary.py
@@ -45,11 +45,7 @@
     documents = active_versions.documents
     ready_counts, rejections = _validate_pending(name, active_versions)
     staged = [document.staged.proposal_id for document in documents.values() if document.staged is not None]
-    acting_on = {
-        document: version
-        for document in documents
-        if (version := active_versions.version(document)) is not None
-    }
+    acting_on = active_versions.versions()
     proposal_ids = (version.proposal_id for version in acting_on.values())
     response_counts.track(next((proposal_id for proposal_id in proposal_ids if proposal_id in staged), ""))
     version_counts = {f"{document}@{version.number}": 1 for document, version in acting_on.items()}
--- a/puffinpost/emulator/mesh/virtual_consensus.py
+++ b/puffinpost/emulator/mesh/virtual_consensus.py
@@ -98,6 +98,7 @@
             member.active_versions.update(document)
         node.member, node.deferred, node.crash_point = member, None, None
         node.incarnation += 1
+        node.next_tick_ns = None
         self.record(name, EventKind.UP)
         self._greet_voters(node, member, is_voter)
         self._tick(node, node.incarnation)
@@ -173,10 +174,23 @@
     def _tick(self, node: VirtualNode, incarnation: int) -> None:
         if not node.runs(incarnation):
             return
+        node.next_tick_ns = None
         self._step(node, incarnation, lambda member, now: member.tick(now))
-        if node.member is not None:
-            wait_ns = (node.member.next_due_ns() - node.local_time(self.now)) / node.rate
-            self.at(self.now + max(MS, int(wait_ns)), lambda: self._tick(node, incarnation))
+        self._schedule_tick(node, incarnation)
+
+    def _schedule_tick(self, node: VirtualNode, incarnation: int) -> None:
+        """Schedules the next tick for when something is due, unless one is scheduled before that."""
+        if node.member is None or not node.runs(incarnation):
+            return
+        wait_ns = (node.member.next_due_ns() - node.local_time(self.now)) / node.rate
+        due_ns = self.now + max(MS, int(wait_ns))
+        if node.next_tick_ns is None or due_ns < node.next_tick_ns:
+            node.next_tick_ns = due_ns
+            self.at(due_ns, lambda: self._run_tick(node, incarnation, due_ns))
+
+    def _run_tick(self, node: VirtualNode, incarnation: int, due_ns: int) -> None:
+        if node.next_tick_ns == due_ns:  # no earlier tick has replaced this one
+            self._tick(node, incarnation)
 
     # --- the network ----------------------------------------------------------------------------------
 
@@ -200,6 +214,7 @@
             if own_hello.voters:
                 self.send(target, sender, own_hello)
         self._step(node, incarnation, lambda member, now: member.receive(sender, identity, message, now))
+        self._schedule_tick(node, incarnation)
 
     def cut_links(self, side: set[str], other_side: set[str], one_way: bool = False) -> None:
         """Cuts the links from one side to the other, and back unless ``one_way``."""
--- a/puffinpost/emulator/mesh/virtual_node.py
+++ b/puffinpost/emulator/mesh/virtual_node.py
@@ -83,6 +83,7 @@
         self.deferred: list[Callable[[], None]] | None = None
         self.resume: Callable[[], None] = _do_nothing
         self.crash_point: CrashPoint | None = None
+        self.next_tick_ns: int | None = None  # when the next tick is scheduled, on the cluster's clock
 
     def local_time(self, now: int) -> int:
         """The time of its own clock."""
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -14,6 +14,7 @@
 from puffinpost.consensus.active_versions import ActiveVersions
 from puffinpost.consensus.documents import Documents, DocumentsState, Version, acts_on_staged, digest
 from puffinpost.consensus.lease import MAX_CLOCK_DRIFT, MAX_HOPS, Lease, lease_duration_ns
+from puffinpost.consensus.lease_renewal import NOTIFICATION_DELAY_NS
 from puffinpost.consensus.log import Log, PersistentState, Snapshot
 from puffinpost.consensus.member_config import MemberConfig
 from puffinpost.consensus.messages import AppendEntries, Decide, Entry, Noop, Propose
@@ -23,7 +24,13 @@
 from puffinpost.emulator.mesh.history_checker import Event, check_history
 from puffinpost.emulator.mesh.model_cases import LEASE, VOTE, Bounds
 from puffinpost.emulator.mesh.model_checker import ModelChecker
-from puffinpost.emulator.mesh.virtual_consensus import MS, S, VirtualCluster, VirtualClusterSettings
+from puffinpost.emulator.mesh.virtual_consensus import (
+    MEAN_LATENCY_NS,
+    MS,
+    S,
+    VirtualCluster,
+    VirtualClusterSettings,
+)
 
 CHUNKS = 25
 T = 2 * S  # agree_within_ns: how long a node may act on a version after another acts on a newer one
@@ -426,6 +433,22 @@
         assert member is not None and member.active_versions.is_current(node.local_time(cluster.now))
 
 
+# A node that had changed its source was counted at both until its old report expired ("4 nodes heard" of 3).
+@pytest.mark.parametrize("seed", range(10))
+def test_a_node_that_changes_its_source_is_counted_once(seed: int) -> None:
+    cluster = VirtualCluster(seed, voters=3, followers=4).run(5 * S)
+    interval_ns, above_ns, longest_above_ns = 5 * MS, 0, 0
+    for _ in range(60 * S // interval_ns):
+        cluster.run(interval_ns)
+        members = [node.member for node in cluster.nodes.values() if node.member is not None]
+        leaders = [it for it in members if it.raft is not None and it.raft.role is Role.LEADER]
+        counts = [it.summary(it.now).node_count for it in leaders]
+        above_ns = above_ns + interval_ns if max(counts) > len(cluster.nodes) else 0
+        longest_above_ns = max(longest_above_ns, above_ns)
+    # While the withdrawal of the old report passes each hop to the leader.
+    assert longest_above_ns <= MAX_HOPS * (NOTIFICATION_DELAY_NS + 2 * MEAN_LATENCY_NS)
+
+
 def test_the_lease_is_checked_after_a_pause_of_thirty_seconds() -> None:
     cluster = VirtualCluster(8, 3, 2)
     cluster.run(3 * S)
