Upgrades hand over any number of sockets, and sessions only to a process that serves

Cause: three listening sockets went in one message, of which the receiver took two; the takeover counted as complete before its sockets were matched, so the successor tried to bind addresses in use. Messages were cut at 160 KiB. And sessions were sent, and forgotten, before the successor had shown that it can serve.

Change: a successor says which form it knows. To one that knows the new form, long messages go in fragments and sockets in any number; truncation is an error. It says when it serves, and answers for each session: until then the predecessor keeps duplicates of the sockets, which nobody reads, and continues the session where it is refused or the successor ends. A second successor is refused meanwhile. The forms of the version before are written and read as they were; an earlier successor that cannot take all sockets or bytes gets nothing and ends, and the predecessor serves on. What continues sessions is a module of its own, used by both sides; invalid messages are typed errors in the log.

--- a/puffinpost/frontends/platform/frontend.py
+++ b/puffinpost/frontends/platform/frontend.py
@@ -58,9 +58,10 @@
         The caller starts both connections. Raises ``KeyError``, ``TypeError`` or ``ValueError`` if the
         message is incomplete or invalid.
         """
+        state = PlatformSessionState.from_message(message)
         session = PlatformSession(self, connection)
         exchange = self.coordinator.take_over(message, session)
-        session.restore(exchange, upstream, PlatformSessionState.from_message(message))
+        session.restore(exchange, upstream, state)
         self.admission.adopt_session(session)
         return session
 
--- a/puffinpost/net/handover_channel.py
+++ b/puffinpost/net/handover_channel.py
@@ -1,7 +1,7 @@
 """A channel between two processes of one node: JSON messages, each with the sockets that it transfers.
 
 IOStream does not support ``SCM_RIGHTS``, so the channel uses a Unix socket directly, of type SEQPACKET:
-a message arrives complete with its descriptors, or not at all.
+a datagram arrives complete with its descriptors, or not at all. `handover_framing` divides longer messages.
 """
 
 from __future__ import annotations
@@ -10,25 +10,38 @@
 import os
 import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
 
 import orjson
 from tornado.ioloop import IOLoop
 
+from puffinpost.errors import PuffinpostError
+from puffinpost.net.handover_framing import (
+    Datagram,
+    HandoverFormatError,
+    MessageAssembler,
+    fits_one_datagram,
+    fragments,
+)
 from puffinpost.observability import log
 
-MAX_MESSAGE_BYTES = 160 * 1024  # below the kernel's default limit for one message
-MAX_SOCKETS_PER_MESSAGE = 2
-MAX_MESSAGES_PER_TURN = 16  # received before other callbacks run
+RECEIVE_BYTES = (
+    256 * 1024
+)  # earlier versions send messages of up to the kernel's default limit, about 208 KiB
+MAX_RECEIVED_SOCKETS = 253  # the kernel's limit for one datagram
+MAX_DATAGRAMS_PER_TURN = 16  # received before other callbacks run
 MAX_SOCKET_PATH_BYTES = 100  # a longer path is reached through its directory's descriptor
 
 HandoverMessage = dict[str, Any]
 
 
 class HandoverChannel:
-    """One end. ``on_message`` receives each message with its sockets; ``on_closed`` reports a peer close."""
+    """One end. ``on_message`` receives each message with its sockets; ``on_closed`` reports a peer close.
+
+    ``sends_fragments`` is set once the peer is known to read fragments. Without, each message is sent whole.
+    """
 
     def __init__(self, connection: socket.socket) -> None:
         self.socket = connection
@@ -37,14 +50,31 @@
         )
         self.on_closed: Callable[[], None] = lambda: None
         self.closed = False
-        self._unsent: deque[bytes] = deque()
+        self.sends_fragments = False
+        self._unsent: deque[Datagram] = deque()
+        self._assembler = MessageAssembler()
         self._watched_events = IOLoop.READ
         connection.setblocking(False)
         IOLoop.current().add_handler(connection, self._on_ready, self._watched_events)
 
-    def send(self, message: HandoverMessage) -> None:
-        """Sends a message, immediately or once the socket is writable."""
-        self._unsent.append(orjson.dumps(message))
+    @property
+    def is_congested(self) -> bool:
+        """Whether messages wait until the peer has read earlier ones."""
+        return bool(self._unsent)
+
+    def send(self, message: HandoverMessage, sockets: Sequence[socket.socket] = ()) -> None:
+        """Sends a message, immediately or once the socket is writable.
+
+        The sockets may be closed after the call.
+        """
+        if self.closed:
+            return
+        data = orjson.dumps(message)
+        if self.sends_fragments and not fits_one_datagram(data, sockets):
+            datagrams = list(fragments(data, sockets))
+        else:
+            datagrams = [Datagram(data, sockets)]
+        self._unsent += [Datagram(each.data, [it.dup() for it in each.sockets]) for each in datagrams]
         self._flush()
 
     def send_with_sockets(self, message: HandoverMessage, sockets: list[socket.socket]) -> bool:
@@ -66,54 +96,98 @@
             self.closed = True
             IOLoop.current().remove_handler(self.socket)
             self.socket.close()
+            self._assembler.close()
+            for datagram in self._unsent:
+                _close_all(datagram.sockets)
+            self._unsent.clear()
 
     def _flush(self) -> None:
         while self._unsent and not self.closed:
+            data, sockets = self._unsent[0]
             try:
-                self.socket.send(self._unsent[0])
-                self._unsent.popleft()
+                socket.send_fds(self.socket, [data], [each.fileno() for each in sockets])
             except BlockingIOError:
                 break
             except OSError as error:
                 self._on_lost(error)
+            else:
+                self._unsent.popleft()
+                _close_all(sockets)
         events = IOLoop.READ | (IOLoop.WRITE if self._unsent else 0)
         if events != self._watched_events and not self.closed:
             self._watched_events = events
             IOLoop.current().update_handler(self.socket, events)
 
-    def _on_ready(self, connection: socket.socket, events: int) -> None:
+    def _on_ready(self, _connection: socket.socket, events: int) -> None:
         if events & IOLoop.WRITE:
             self._flush()
-        for _ in range(MAX_MESSAGES_PER_TURN):
+        for _ in range(MAX_DATAGRAMS_PER_TURN):
             if self.closed:
                 return
             try:
-                data, descriptors, _flags, _ = socket.recv_fds(
-                    connection, MAX_MESSAGE_BYTES, MAX_SOCKETS_PER_MESSAGE, socket.MSG_CMSG_CLOEXEC
-                )
+                message = self._receive()
             except BlockingIOError:
                 return
-            except OSError as error:
+            except (OSError, EOFError, HandoverFormatError) as error:
                 self._on_lost(error)
                 return
-            if not data:
-                self._on_lost(None)
-                return
-            sockets = [socket.socket(fileno=descriptor) for descriptor in descriptors]
-            try:
-                self.on_message(orjson.loads(data), sockets)
-            except Exception:  # noqa: BLE001 (boundary: a defect with one message must not end the channel)
-                log.exception("handover message failed")
-                for each in sockets:
-                    each.close()
-
-    def _on_lost(self, error: OSError | None) -> None:
-        if error is not None:
+            if message is not None:
+                self._dispatch(message)
+
+    def _receive(self) -> Datagram | None:
+        """Reads a datagram; returns the message that it completes, if any.
+
+        Raises ``BlockingIOError`` if there is none, ``EOFError`` after the peer has closed the channel, and
+        ``HandoverFormatError`` for one that is truncated or invalid.
+        """
+        data, descriptors, flags, _ = socket.recv_fds(
+            self.socket, RECEIVE_BYTES, MAX_RECEIVED_SOCKETS, socket.MSG_CMSG_CLOEXEC
+        )
+        if not data:
+            raise EOFError
+        sockets = [socket.socket(fileno=descriptor) for descriptor in descriptors]
+        if flags & (socket.MSG_TRUNC | socket.MSG_CTRUNC):
+            _close_all(sockets)
+            raise HandoverFormatError(
+                f"a datagram was truncated to {len(data)} bytes, {len(sockets)} sockets"
+            )
+        try:
+            return self._assembler.feed(data, sockets)
+        except HandoverFormatError:
+            _close_all(sockets)
+            raise
+
+    def _dispatch(self, message: Datagram) -> None:
+        sockets = list(message.sockets)
+        try:
+            self.on_message(_parse(message.data), sockets)
+        except PuffinpostError as error:
+            log.info("handover message is invalid", reason=error)
+            _close_all(sockets)
+        except Exception:  # noqa: BLE001 (boundary: a defect with one message must not end the channel)
+            log.exception("handover message failed")
+            _close_all(sockets)
+
+    def _on_lost(self, error: Exception) -> None:
+        if not isinstance(error, EOFError):
             log.info("handover channel lost", reason=error)
         self.close()
         self.on_closed()
 
 
+def _parse(data: bytes) -> HandoverMessage:
+    try:
+        message: HandoverMessage = orjson.loads(data)
+    except orjson.JSONDecodeError as problem:
+        raise HandoverFormatError(f"not JSON: {problem}") from None
+    return message
+
+
+def _close_all(sockets: Sequence[socket.socket]) -> None:
+    for each in sockets:
+        each.close()
+
+
 @contextlib.contextmanager
 def _bindable_address(path: Path) -> Any:
     if len(os.fsencode(path)) <= MAX_SOCKET_PATH_BYTES:
--- a/puffinpost/runtime/handover_messages.py
+++ b/puffinpost/runtime/handover_messages.py
@@ -2,6 +2,10 @@
 
 Both sides of the handover use it; it does no I/O. The process at the other end may be of an earlier or later
 version, so keys on the channel stay when an attribute is renamed; only this module maps them to attributes.
+
+The order: ``Capabilities`` and ``Ready`` from the successor; ``Takeover`` from the predecessor; ``Serving``
+from the successor; then sessions, each answered by ``SessionReceived``. A process of an earlier version sends
+neither ``Capabilities``, ``Serving`` nor ``SessionReceived``, and ignores them.
 """
 
 from __future__ import annotations
@@ -13,8 +17,11 @@
 
 from puffinpost.balancing.events import LearnedEndpointState, LearnedState
 from puffinpost.net.handover_channel import HandoverMessage
+from puffinpost.net.handover_framing import HandoverFormatError
 
 KIND_KEY = "do"
+NUMBER_KEY = "seq"  # of a session that has to be answered
+ACKNOWLEDGING = 2  # the form from which on messages may be fragmented and sessions are acknowledged
 
 # By key on the channel, the name of the field.
 _ENDPOINT_KEYS = {
@@ -40,6 +47,23 @@
 }
 
 
+class Capabilities(msgspec.Struct, frozen=True, tag_field=KIND_KEY, tag="forms"):
+    """Sent by the successor before ``Ready``: the latest form of the handover that it knows."""
+
+    highest: int
+
+
+class Serving(msgspec.Struct, frozen=True, tag_field=KIND_KEY, tag="serving"):
+    """Sent by the successor: it listens with the sockets that were handed over, and can receive sessions."""
+
+
+class SessionReceived(msgspec.Struct, frozen=True, tag_field=KIND_KEY, tag="received"):
+    """Sent by the successor: it owns a session from now on, or has closed its copies of the sockets."""
+
+    number: int = msgspec.field(name=NUMBER_KEY)
+    adopted: bool
+
+
 class Ready(msgspec.Struct, frozen=True, tag_field=KIND_KEY, tag="ready"):
     """Sent by the successor: it can serve, and requests the takeover."""
 
@@ -77,6 +101,16 @@
     KIND: ClassVar[str] = "session"
     state: dict[str, Any]
 
+    @property
+    def number(self) -> int | None:
+        """The number to answer with; None if no answer is expected."""
+        return self.state.get(NUMBER_KEY)
+
+    @property
+    def protocol(self) -> str:
+        """The name of the frontend that wrote it."""
+        return "platform"
+
     @property
     def request_class(self) -> str:
         """The name of the request's class."""
@@ -100,9 +134,14 @@
     state: dict[str, Any]
 
     @property
-    def is_xmpp(self) -> bool:
-        """Whether the XMPP frontend wrote it; otherwise the MQTT frontend did."""
-        return bool(self.state["kind"] == "xmpp")
+    def number(self) -> int | None:
+        """The number to answer with; None if no answer is expected."""
+        return self.state.get(NUMBER_KEY)
+
+    @property
+    def protocol(self) -> str:
+        """The name of the frontend that wrote it: ``xmpp`` or ``mqtt``."""
+        return "xmpp" if self.state.get("kind") == "xmpp" else "mqtt"
 
     @property
     def request_class(self) -> str:
@@ -115,8 +154,12 @@
         return bool(self.state["north"])
 
 
+SessionMessage = EstablishedSessionHandover | ResumableSessionHandover
 Message = (
-    Ready
+    Capabilities
+    | Serving
+    | SessionReceived
+    | Ready
     | Takeover
     | RequestIdReleased
     | DescriptorsUsed
@@ -124,7 +167,15 @@
     | ResumableSessionHandover
 )
 
-_STRUCTS = {"ready": Ready, "yours": Takeover, "free": RequestIdReleased, "taken": DescriptorsUsed}
+_STRUCTS = {
+    "forms": Capabilities,
+    "serving": Serving,
+    "received": SessionReceived,
+    "ready": Ready,
+    "yours": Takeover,
+    "free": RequestIdReleased,
+    "taken": DescriptorsUsed,
+}
 
 
 def encode(message: Message) -> HandoverMessage:
@@ -135,18 +186,29 @@
     return encoded
 
 
+def encode_numbered(message: SessionMessage, number: int) -> HandoverMessage:
+    """Converts a session to a map for the channel that has to be answered with ``SessionReceived``."""
+    return {**encode(message), NUMBER_KEY: number}
+
+
 def decode(data: HandoverMessage) -> Message | None:
     """Converts a map to its message; returns None for a kind that this version does not know.
 
-    Raises ``KeyError`` if the kind is missing, ``msgspec.ValidationError`` if a field is missing or invalid.
+    Raises ``HandoverFormatError`` if the kind or a field is missing or invalid. A session's state is read
+    by its frontend.
     """
-    kind = data[KIND_KEY]
+    kind = data.get(KIND_KEY)
+    if not isinstance(kind, str):
+        raise HandoverFormatError(f"a message without a kind: {list(data)}")
     if kind == EstablishedSessionHandover.KIND:
         return EstablishedSessionHandover(data)
     if kind == ResumableSessionHandover.KIND:
         return ResumableSessionHandover(data)
     struct = _STRUCTS.get(kind)
-    return msgspec.convert(data, struct) if struct is not None else None
+    try:
+        return msgspec.convert(data, struct) if struct is not None else None
+    except msgspec.ValidationError as problem:
+        raise HandoverFormatError(f"{kind}: {problem}") from None
 
 
 def encode_learned_state(learned: LearnedState) -> dict[str, Any]:
--- a/puffinpost/runtime/handover_sender.py
+++ b/puffinpost/runtime/handover_sender.py
@@ -18,31 +18,38 @@
 from puffinpost.frontends.platform import PlatformSession
 from puffinpost.net.admission import ConnectionAdmission
 from puffinpost.net.connection import Connection
-from puffinpost.net.handover_channel import (
-    MAX_MESSAGE_BYTES,
-    HandoverChannel,
-    HandoverListener,
-    HandoverMessage,
-)
+from puffinpost.net.handover_channel import HandoverChannel, HandoverListener, HandoverMessage
 from puffinpost.net.listener import Listener
 from puffinpost.observability import log
 from puffinpost.proxy.coordinator import Coordinator
 from puffinpost.proxy.exchange import Exchange
 from puffinpost.runtime.frontends import Frontends
 from puffinpost.runtime.handover_messages import (
+    ACKNOWLEDGING,
+    Capabilities,
     DescriptorsUsed,
     EstablishedSessionHandover,
     Ready,
     RequestIdReleased,
     ResumableSessionHandover,
+    Serving,
+    SessionMessage,
+    SessionReceived,
     Takeover,
     decode,
     encode,
     encode_learned_state,
+    encode_numbered,
 )
+from puffinpost.runtime.session_adopter import SessionAdopter
+from puffinpost.runtime.unacknowledged_sessions import UnacknowledgedSessions
 
 BATCH_INTERVAL_S = 0.02
 BATCH_SIZE = 32  # sessions handed over before the event loop runs other callbacks
+REFUSAL_PAUSE_S = 1.0
+# What a successor of an earlier version can receive in one message.
+EARLIER_MAX_SOCKETS = 2
+EARLIER_MAX_MESSAGE_BYTES = 160 * 1024
 
 
 class HandoverSession(Protocol):
@@ -59,7 +66,11 @@
     """Hands over everything that the successor needs, a batch at a time."""
 
     def __init__(
-        self, coordinator: Coordinator, frontends: Frontends, admission: ConnectionAdmission
+        self,
+        coordinator: Coordinator,
+        frontends: Frontends,
+        admission: ConnectionAdmission,
+        adopter: SessionAdopter,
     ) -> None:
         self.coordinator = coordinator
         self.frontends = frontends
@@ -67,7 +78,10 @@
         self._listeners: list[Listener] = []
         self._handover_listener: HandoverListener | None = None
         self._channel: HandoverChannel | None = None  # to the successor
+        self._successor_is_serving = False  # it can receive sessions
+        self._unacknowledged = UnacknowledgedSessions(adopter.adopt)
         self._batches_started = False
+        self._next_batch_s = 0.0  # not before this time of the event loop
         self._reported_descriptors = -1
 
     def listen(self, path: Path, listeners: list[Listener]) -> None:
@@ -85,35 +99,64 @@
 
     @property
     def has_pending_sessions(self) -> bool:
-        """Whether sessions that outlive their connections remain to be handed over."""
+        """Whether sessions remain to be handed over, or the successor has to answer for some."""
         registry = self.frontends.registry
-        return (
-            self.has_successor
-            and registry is not None
-            and any(session.owner.can_hand_over for session in registry.sessions.values())
+        return self.has_successor and (
+            bool(self._unacknowledged)
+            or (
+                registry is not None
+                and any(session.owner.can_hand_over for session in registry.sessions.values())
+            )
         )
 
+    # --- the takeover ---------------------------------------------------------------------------------
+
     def _on_connection(self, channel: HandoverChannel) -> None:
         def on_message(data: HandoverMessage, _sockets: list[socket.socket]) -> None:
-            if isinstance(decode(data), Ready):
-                self._on_ready(channel)
+            match decode(data):
+                case Capabilities(highest):
+                    channel.sends_fragments = highest >= ACKNOWLEDGING
+                case Ready():
+                    self._on_ready(channel)
+                case Serving() if channel is self._channel:
+                    self._successor_is_serving = True
+                case SessionReceived() as answer if channel is self._channel:
+                    self._on_session_received(answer)
 
         channel.on_message = on_message
 
     def _on_ready(self, channel: HandoverChannel) -> None:
+        if self._unacknowledged:
+            # The earlier successor may own these sessions already, so it stays the successor.
+            log.info("hot restart: another successor is refused")
+            channel.close()
+            return
+        if not channel.sends_fragments and not self._fits_earlier_form():
+            log.info(
+                "hot restart: a successor of an earlier version cannot take over",
+                sockets=len(self._listeners),
+            )
+            channel.close()
+            return
         if self._channel is not None:
             self._channel.close()
         self._channel = channel
+        self._successor_is_serving = not channel.sends_fragments
         channel.on_closed = self._on_successor_disconnected
         for listener in self._listeners:
             listener.pause()
         log.info("hot restart: successor takes over")
-        channel.send_with_sockets(encode(self._takeover()), [listener.socket for listener in self._listeners])
+        channel.send(encode(self._takeover()), [listener.socket for listener in self._listeners])
         if not self._batches_started:
             self._batches_started = True
             self.coordinator.request_ids.release_listeners.append(self._on_request_id_released)
             self._send_batch()
 
+    def _fits_earlier_form(self) -> bool:
+        """Whether a successor that reads neither fragments nor more sockets can receive the takeover."""
+        message_bytes = len(orjson.dumps(encode(self._takeover())))
+        return len(self._listeners) <= EARLIER_MAX_SOCKETS and message_bytes <= EARLIER_MAX_MESSAGE_BYTES
+
     def _takeover(self) -> Takeover:
         return Takeover(
             os.getpid(),
@@ -128,28 +171,40 @@
             self._channel.send(encode(RequestIdReleased(request_id)))
 
     def _on_successor_disconnected(self) -> None:
-        """Accepts clients again, unless this process is draining: the successor has failed."""
+        """The successor has failed: accepts clients again, unless this process is draining."""
         self._channel = None
+        restored = self._unacknowledged.restore_all()
         if not self.frontends.platform.draining:
-            log.info("hot restart: successor disconnected")
+            log.info("hot restart: successor disconnected", restored=restored)
             for listener in self._listeners:
                 listener.resume()
 
+    # --- sessions -------------------------------------------------------------------------------------
+
     def _send_batch(self) -> None:
         """Hands over sessions that are ready for it; repeats this at an interval until the process ends."""
         asyncio.get_running_loop().call_later(BATCH_INTERVAL_S, self._send_batch)
         channel = self._channel
-        if channel is None:
+        if channel is None or not self._successor_is_serving or channel.is_congested:
             return
-        sent = self._send_established(channel)
-        self._send_resumable(channel, BATCH_SIZE - sent)
+        if asyncio.get_running_loop().time() < self._next_batch_s:
+            return
+        limit = BATCH_SIZE - len(self._unacknowledged)
+        sent = self._send_established(channel, limit)
+        self._send_resumable(channel, limit - sent)
         self._report_descriptors(channel)
 
-    def _send_established(self, channel: HandoverChannel) -> int:
-        """Hands over at most a batch of established sessions; returns how many."""
+    def _on_session_received(self, answer: SessionReceived) -> None:
+        """A refused session stays here, and is offered again after a pause, behind the others."""
+        if not answer.adopted:
+            self._next_batch_s = asyncio.get_running_loop().time() + REFUSAL_PAUSE_S
+        self._unacknowledged.on_answer(answer)
+
+    def _send_established(self, channel: HandoverChannel, limit: int) -> int:
+        """Hands over at most ``limit`` established sessions; returns how many."""
         sent = 0
         for exchange in self.coordinator.established_exchanges():
-            if sent == BATCH_SIZE or channel.closed:
+            if sent >= limit or channel.closed:
                 break
             sent += self._send_exchange(channel, exchange)
         return sent
@@ -160,7 +215,7 @@
             return
         sent = 0
         for session in list(registry.sessions.values()):
-            if sent == limit or channel.closed:
+            if sent >= limit or channel.closed:
                 break
             sent += self._send_session(channel, session.owner)
 
@@ -171,7 +226,7 @@
             channel.send(encode(DescriptorsUsed(used)))
 
     def _send_exchange(self, channel: HandoverChannel, exchange: Exchange) -> bool:
-        """Hands over one established session; returns whether the successor has it now."""
+        """Hands over one established session; returns whether it is sent."""
         session = exchange.client
         if not isinstance(session, PlatformSession):
             return False
@@ -179,29 +234,37 @@
         if prepared is None:
             return False
         session_state, connections = prepared
-        message = encode(
-            EstablishedSessionHandover({**self.coordinator.handover_state(exchange), **session_state})
-        )
-        if not channel.send_with_sockets(message, _sockets(connections)):
+        state = {**self.coordinator.handover_state(exchange), **session_state}
+        if not self._send_message(channel, EstablishedSessionHandover(state), _sockets(connections)):
             return False
         session.release_to_successor()
         self.coordinator.handed_over(exchange)
         return True
 
     def _send_session(self, channel: HandoverChannel, session: HandoverSession) -> bool:
-        """Hands over one resumable session; returns whether the successor has it now."""
+        """Hands over one resumable session; returns whether it is sent."""
         prepared = session.prepare_handover()
         if prepared is None:
             return False
         state, connections = prepared
-        message = encode(ResumableSessionHandover(state))
-        if len(orjson.dumps(message)) > MAX_MESSAGE_BYTES:
-            return False
-        if not channel.send_with_sockets(message, _sockets(connections)):
+        if not self._send_message(channel, ResumableSessionHandover(state), _sockets(connections)):
             return False
         session.release_to_successor()
         return True
 
+    def _send_message(
+        self, channel: HandoverChannel, message: SessionMessage, sockets: list[socket.socket]
+    ) -> bool:
+        """Sends a session. Returns False if a successor of an earlier version cannot receive it now."""
+        if channel.sends_fragments:
+            number = self._unacknowledged.add(message, sockets)
+            channel.send(encode_numbered(message, number), sockets)
+            return True
+        encoded = encode(message)
+        if len(orjson.dumps(encoded)) > EARLIER_MAX_MESSAGE_BYTES:
+            return False
+        return channel.send_with_sockets(encoded, sockets)
+
 
 def _sockets(connections: list[Connection]) -> list[socket.socket]:
     return [connection.stream.socket for connection in connections]
--- a/puffinpost/runtime/hot_restart.py
+++ b/puffinpost/runtime/hot_restart.py
@@ -42,6 +42,6 @@
 
     def wait_for_successor(self, listeners: list[Listener]) -> None:
         """Lets a process that is started later take over from this one."""
-        self.receiver.close_unused_sockets()
+        self.receiver.start_serving()
         if self.path is not None:
             self.sender.listen(self.path, listeners)
--- a/puffinpost/runtime/node.py
+++ b/puffinpost/runtime/node.py
@@ -30,6 +30,7 @@
 from puffinpost.runtime.hot_restart import HotRestart, handover_socket_path
 from puffinpost.runtime.loop_clock import LoopClock
 from puffinpost.runtime.readiness import Readiness
+from puffinpost.runtime.session_adopter import SessionAdopter
 
 if TYPE_CHECKING:
     from puffinpost.net.flow_exporter import FlowExporter
@@ -115,15 +116,13 @@
         return exporter
 
     def _create_hot_restart(self) -> HotRestart:
-        receiver = HandoverReceiver(
-            self.coordinator,
-            self.frontends,
-            self.connection_admission,
-            self.connection_runner,
-            self._add_closed_class,
-            self.config.descriptor_limit - self.config.client_descriptor_limit,
+        admission = self.connection_admission
+        adopter = SessionAdopter(
+            self.coordinator, self.frontends, admission, self.connection_runner, self._add_closed_class
         )
-        sender = HandoverSender(self.coordinator, self.frontends, self.connection_admission)
+        reserved_descriptors = self.config.descriptor_limit - self.config.client_descriptor_limit
+        receiver = HandoverReceiver(self.coordinator, admission, adopter, reserved_descriptors)
+        sender = HandoverSender(self.coordinator, self.frontends, admission, adopter)
         path = handover_socket_path(self.config.handover_folder, self.config.name)
         return HotRestart(path, receiver, sender)
 
