The endpoint list goes over at an upgrade, so that a drain is not forgotten

Cause: the takeover carried no list. The successor does not wait for discovery's list where discovery cannot be reached, and served by the list of its file, which was older than the drain.

Change: the predecessor sends its list, with its index and drains, before the takeover and after each answer until it ends. Where discovery has told the successor nothing yet, that list is in force; else it only takes out of use what a later index drains or removes and what has not started since.

--- a/puffinpost/discovery/endpoint_list.py
+++ b/puffinpost/discovery/endpoint_list.py
@@ -27,6 +27,7 @@
     "draining": EndpointStatus.DRAINING,
     "removed": EndpointStatus.REMOVED,
 }
+TEXT_OF_STATUS = {status: text for text, status in STATUS_OF_TEXT.items()}
 
 
 class EndpointListError(PuffinpostError, ValueError):
@@ -64,6 +65,9 @@
     addresses: dict[EndpointId, tuple[str, int]] = field(default_factory=dict)
     statuses: dict[EndpointId, EndpointStatus] = field(default_factory=dict)
     _started_ns: dict[EndpointId, int] = field(default_factory=dict)
+    _entries: dict[EndpointId, dict[str, Any]] = field(
+        default_factory=dict
+    )  # the last valid ones, as received
     _ids: dict[str, EndpointId] = field(default_factory=dict)
     _names: dict[EndpointId, str] = field(default_factory=dict)
 
@@ -104,6 +108,7 @@
                 update = self._read_entry(entry)
                 if update.status is not EndpointStatus.REMOVED:
                     addresses[update.endpoint] = _read_address(entry)
+                self._entries[update.endpoint] = entry
             except EndpointListError as problem:
                 self.invalid_entries.append(str(problem))
                 existing_id = self._ids.get(entry["name"])
@@ -151,6 +156,37 @@
             return entry
         return replace(entry, status=status)
 
+    def snapshot(self) -> dict[str, Any]:
+        """The list as a full answer of discovery, for another process of this node.
+
+        Removed endpoints are in it, since an outdated answer may still name them.
+        """
+        entries = [
+            {**entry, "status": TEXT_OF_STATUS[self.statuses[endpoint]]}
+            for endpoint, entry in self._entries.items()
+        ]
+        return {"index": self.index, "snapshot": True, "endpoints": entries}
+
+    def merge_unavailable(self, answer: dict[str, Any]) -> EndpointListUpdate:
+        """Applies only what an answer of later index takes out of use, and keeps this list's index.
+
+        Raises ``EndpointListError`` and changes nothing if the answer is not a list.
+        """
+        entries = answer.get("endpoints")
+        if not isinstance(entries, list):
+            raise EndpointListError("endpoints is missing or of the wrong type")
+        updates, _ = self._read_entries(entries, self.index)
+        unavailable = tuple(
+            update
+            for update in updates
+            if update.status is not EndpointStatus.READY
+            and self.accepts_new_work(update.endpoint)
+            and update.started_ns >= self._started_ns.get(update.endpoint, 0)
+        )
+        for update in unavailable:
+            self.statuses[update.endpoint] = update.status
+        return EndpointListUpdate(ListUpdateKind.DELTA, unavailable)
+
     def count(self) -> int:
         """How many endpoints are on the list."""
         return sum(status is not EndpointStatus.REMOVED for status in self.statuses.values())
--- a/puffinpost/proxy/coordinator.py
+++ b/puffinpost/proxy/coordinator.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from puffinpost.balancing.balancer import Balancer
@@ -73,6 +74,7 @@
         self.handover = ConnectionHandover(context, table, attempts, dispatcher, self.balancer)
         self.responses = ResponseMonitor(context, table, attempts, dispatcher)
         self.responses.start()
+        self.endpoint_list_listeners: list[Callable[[], None]] = []  # called after each answer of discovery
 
     @property
     def settings(self) -> Settings:
@@ -124,6 +126,17 @@
                 f"first={invalid[0][:MAX_LOGGED_ENTRY_LENGTH]}"
             )
         self.dispatcher.dispatch(lambda: update)
+        for notify in self.endpoint_list_listeners:
+            notify()
+
+    def predecessor_list_received(self, answer: dict[str, Any], is_current: bool) -> None:
+        """Applies the list that the predecessor of this process had been told.
+
+        Raises ``EndpointListError`` if the answer is not a list.
+        """
+        update = self.endpoints.apply_predecessor_list(answer, is_current)
+        if update is not None:
+            self.dispatcher.dispatch(lambda: update)
 
     def endpoint_list_failed(self) -> None:
         """Handles a failed call to discovery, or the end of the watch."""
--- a/puffinpost/proxy/endpoint_directory.py
+++ b/puffinpost/proxy/endpoint_directory.py
@@ -31,6 +31,21 @@
         self.is_current = self.is_current or not cached
         return update
 
+    def apply_predecessor_list(self, answer: dict[str, Any], is_current: bool) -> EndpointListUpdate | None:
+        """Applies the list of the process that this one replaces; returns None if it changes nothing.
+
+        ``is_current``: discovery itself had told it. What discovery has told this process is newer, but does
+        not undo a drain in a later version of the list. Raises ``EndpointListError`` if it is not a list.
+        """
+        if not self.is_current:
+            update = self.apply_list(answer, cached=True)
+            self.is_current = is_current
+            return update
+        index = answer.get("index")
+        if not isinstance(index, int) or index <= self.endpoint_list.index:
+            return None
+        return self.endpoint_list.merge_unavailable(answer)
+
     def apply_bans(self, banned: dict[str, int]) -> list[EndpointBanChanged]:
         """Replaces the bans; returns the changes, in the order of the endpoints' names."""
         before, self.banned = self.banned, dict(banned)
--- a/puffinpost/runtime/handover_messages.py
+++ b/puffinpost/runtime/handover_messages.py
@@ -3,9 +3,9 @@
 Both sides of the handover use it; it does no I/O. The process at the other end may be of an earlier or later
 version, so keys on the channel stay when an attribute is renamed; only this module maps them to attributes.
 
-The order: ``Capabilities`` and ``Ready`` from the successor; ``Takeover`` from the predecessor; ``Serving``
-from the successor; then sessions, each answered by ``SessionReceived``. A process of an earlier version sends
-neither ``Capabilities``, ``Serving`` nor ``SessionReceived``, and ignores them.
+The order is: ``Capabilities`` and ``Ready`` from the successor; ``EndpointListTold`` and ``Takeover`` from
+the predecessor; ``Serving`` from the successor; then sessions, each answered by ``SessionReceived``. One
+of an earlier version sends neither ``Capabilities``, ``Serving`` nor ``SessionReceived``, and ignores them.
 """
 
 from __future__ import annotations
@@ -53,6 +53,16 @@
     highest: int
 
 
+class EndpointListTold(msgspec.Struct, frozen=True, tag_field=KIND_KEY, tag="list"):
+    """Sent by the predecessor: its endpoint list, before the takeover and after each change.
+
+    ``answer`` has the form of discovery's answers. ``is_current``: discovery itself has told it.
+    """
+
+    answer: dict[str, Any]
+    is_current: bool
+
+
 class Serving(msgspec.Struct, frozen=True, tag_field=KIND_KEY, tag="serving"):
     """Sent by the successor: it listens with the sockets that were handed over, and can receive sessions."""
 
@@ -157,6 +167,7 @@
 SessionMessage = EstablishedSessionHandover | ResumableSessionHandover
 Message = (
     Capabilities
+    | EndpointListTold
     | Serving
     | SessionReceived
     | Ready
@@ -169,6 +180,7 @@
 
 _STRUCTS = {
     "forms": Capabilities,
+    "list": EndpointListTold,
     "serving": Serving,
     "received": SessionReceived,
     "ready": Ready,
--- a/puffinpost/runtime/handover_receiver.py
+++ b/puffinpost/runtime/handover_receiver.py
@@ -20,6 +20,7 @@
     ACKNOWLEDGING,
     Capabilities,
     DescriptorsUsed,
+    EndpointListTold,
     EstablishedSessionHandover,
     Ready,
     RequestIdReleased,
@@ -102,6 +103,8 @@
         match decode(data):
             case Takeover() as takeover if self._takeover is not None and not self._takeover.done():
                 self._on_takeover(self._takeover, takeover, sockets)
+            case EndpointListTold(answer, is_current):
+                self.coordinator.predecessor_list_received(answer, is_current)
             case EstablishedSessionHandover() | ResumableSessionHandover() as session:
                 assert self._channel is not None  # the message came on it
                 self._on_session(self._channel, session, sockets)
--- a/puffinpost/runtime/handover_sender.py
+++ b/puffinpost/runtime/handover_sender.py
@@ -28,6 +28,7 @@
     ACKNOWLEDGING,
     Capabilities,
     DescriptorsUsed,
+    EndpointListTold,
     EstablishedSessionHandover,
     Ready,
     RequestIdReleased,
@@ -146,10 +147,12 @@
         for listener in self._listeners:
             listener.pause()
         log.info("hot restart: successor takes over")
+        self._tell_endpoint_list()
         channel.send(encode(self._takeover()), [listener.socket for listener in self._listeners])
         if not self._batches_started:
             self._batches_started = True
             self.coordinator.request_ids.release_listeners.append(self._on_request_id_released)
+            self.coordinator.endpoint_list_listeners.append(self._tell_endpoint_list)
             self._send_batch()
 
     def _fits_earlier_form(self) -> bool:
@@ -166,6 +169,13 @@
             [listener.socket.getsockname()[:2] for listener in self._listeners],
         )
 
+    def _tell_endpoint_list(self) -> None:
+        """Sends the endpoint list: what this process was told counts as told to its successor."""
+        endpoints = self.coordinator.endpoints
+        if self._channel is not None and self._channel.sends_fragments and endpoints.has_list:
+            answer = endpoints.endpoint_list.snapshot()
+            self._channel.send(encode(EndpointListTold(answer, endpoints.is_current)))
+
     def _on_request_id_released(self, request_id: int) -> None:
         if self._channel is not None:
             self._channel.send(encode(RequestIdReleased(request_id)))
--- a/tests/test_endpoint_list.py
+++ b/tests/test_endpoint_list.py
@@ -11,8 +11,9 @@
 from test_node import OPEN_LINE, with_new_id
 from test_reload import is_migrated
 
-from puffinpost.balancing.events import EndpointStatus
+from puffinpost.balancing.events import EndpointStatus, ListUpdateKind
 from puffinpost.discovery.endpoint_list import EndpointList, EndpointListError
+from puffinpost.proxy.endpoint_directory import EndpointDirectory
 
 ENTRY: dict[str, Any] = {
     "name": "s-1",
@@ -135,3 +136,48 @@
     assert not is_ready_after(8, "up", 5), "its index is lower: it is from before the drain"
     assert is_ready_after(9, "up", 5, False), "it is newer than the previous list: the drain was cancelled"
     assert not is_ready_after(10, "draining", 5) and is_ready_after(7, "up", 6), "the process has restarted"
+
+
+def test_a_list_in_its_form_for_a_successor_is_the_same_list() -> None:
+    first, second = EndpointList(("a",), ("m",)), EndpointList(("a",), ("m",))
+    drained, other_zone = {**ENTRY, "name": "s-2", "since_ms": 1.7}, {**ENTRY, "name": "s-3", "zone": "b"}
+    first.apply(answer(ENTRY, drained, other_zone, {**ENTRY, "name": "s-4"}, index=4))
+    first.apply(answer({**drained, "status": "draining"}, full=False, index=5))
+    first.apply(answer({"name": "s-4", "status": "removed"}, full=False, index=6))
+    event = second.apply(first.snapshot(), cached=True)
+    assert (second.index, second.statuses, second.invalid_entries) == (6, first.statuses, [])
+    assert {second.name(each.endpoint): (each.zone, each.started_ns) for each in event.entries} == {
+        "s-1": (0, 0),
+        "s-2": (0, 1_700_000),
+        "s-3": (1, 0),
+        "s-4": (1, 0),  # its last entry had no zone
+    }
+    assert second.snapshot() == first.snapshot()
+
+
+@pytest.mark.parametrize("own_index", [3, 9])
+@pytest.mark.parametrize("restarted", [False, True])
+def test_a_predecessors_later_drain_holds_beside_an_answer_of_discovery(
+    own_index: int, restarted: bool
+) -> None:
+    directory = EndpointDirectory(EndpointList(("a",), ("m",)))
+    own_entry = {**ENTRY, "since_ms": 50 if restarted else 0}
+    directory.apply_list(answer(own_entry, index=own_index), cached=False)
+    drained = {**ENTRY, "status": "draining"}
+    update = directory.apply_predecessor_list(answer(drained, index=5), True)
+    endpoint = directory.endpoint_list.identify("s-1")
+    holds = own_index < 5 and not restarted
+    assert directory.accepts_new_work(endpoint) is not holds
+    told = [each.status for each in update.entries] if update is not None else []
+    assert told == [EndpointStatus.DRAINING] * holds
+    assert directory.endpoint_list.index == own_index
+
+
+def test_a_predecessors_list_replaces_the_one_of_the_configuration() -> None:
+    directory = EndpointDirectory(EndpointList(("a",), ("m",)))
+    directory.apply_list(answer(ENTRY, {**ENTRY, "name": "s-2"}, index=9), cached=True)
+    update = directory.apply_predecessor_list(answer({**ENTRY, "status": "draining"}, index=5), True)
+    assert update is not None and update.kind is ListUpdateKind.CACHED and directory.is_current
+    assert directory.endpoint_list.count() == 1 and directory.endpoint_list.index == 5
+    assert not directory.accepts_new_work(directory.endpoint_list.identify("s-1"))
+    assert not directory.accepts_new_work(directory.endpoint_list.identify("s-2"))
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -4,6 +4,7 @@
 
 import json
 import socket
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -11,8 +12,9 @@
 from conftest import Deployment
 from hypothesis import given
 from hypothesis import strategies as st
-from stand_ins import ALWAYS_HAND_OVER, NodeProcess, SocketPeer, free_port
+from stand_ins import ALWAYS_HAND_OVER, WAIT_TIMEOUT_S, NodeProcess, SocketPeer, free_port
 from test_handover_form import STORED_MESSAGES, HandoverPeer
+from test_node import OPEN_LINE, establish_request, with_new_id
 from test_upgrade import establish_requests, exchange_line
 
 from puffinpost.net.handover_framing import (
@@ -25,7 +27,9 @@
     fragments,
 )
 
+NO_WORK_S = 3.0  # for how long nothing may be sent to draining endpoints
 SESSION_COUNT = 60
+MANY_ENDPOINTS = 3200
 
 
 @pytest.fixture
@@ -39,18 +43,54 @@
     return xmpp + f'[mqtt]\nlisten = "127.0.0.1:{free_port()}"\nanonymous = true\n'
 
 
+def stop_discovery(deployment: Deployment) -> None:
+    """Refuses new calls of nodes, and ends the open ones."""
+    deployment.discovery.listener.socket.shutdown(socket.SHUT_RDWR)
+    deployment.discovery.listener.socket.close()
+    for connection in deployment.discovery.connections:
+        connection.close()
+
+
+def wait_until_polled(deployment: Deployment) -> None:
+    """Waits until a node has all of discovery's changes, which it shows by asking for later ones."""
+    discovery = deployment.discovery
+    with discovery.changed:
+        assert discovery.changed.wait_for(
+            lambda: discovery.index in discovery.polled_versions, WAIT_TIMEOUT_S
+        )
+
+
 # An upgrade with three listeners lost all sessions: of three sockets in one message the successor took two.
-def test_a_node_with_all_frontends_is_replaced(
-    deployment: Deployment, inherited_listener: socket.socket
+# With a long list the takeover was cut off, and while discovery was down the successor forgot a drain.
+@pytest.mark.parametrize("endpoint_count", [3, MANY_ENDPOINTS])
+def test_a_node_with_all_frontends_is_replaced_while_discovery_is_down(
+    deployment: Deployment, inherited_listener: socket.socket, endpoint_count: int
 ) -> None:
-    edge = edge_with_frontends()
+    edge, discovery = edge_with_frontends(), deployment.discovery
+    draining = deployment.endpoints[1]
+    for number in range(2, endpoint_count):
+        discovery.set_endpoint(f"s-{number}", "127.0.0.1:9", "draining")
     old = deployment.start(inherited_listener=inherited_listener, edge=edge)
+    started_with = discovery.snapshot()
+    discovery.set_endpoint("s-1", draining.address, "draining")
+    wait_until_polled(deployment)
     pairs = establish_requests(deployment, old, SESSION_COUNT)
+    exchange_line(pairs, b"before")
+    stop_discovery(deployment)
+
+    discovery.snapshot = lambda: started_with  # type: ignore[method-assign]
     new = deployment.start(inherited_listener=inherited_listener, edge=edge)
     new.wait_until_ready()
     new.wait_for_metric("open_requests", SESSION_COUNT)
     assert old.stop() == 0
     exchange_line(pairs, b"after")
+    assert new.read_metrics()["registry_entries"] == len(started_with["endpoints"])
+    until = time.monotonic() + NO_WORK_S
+    while time.monotonic() < until:
+        assert establish_request(deployment, new.connect(with_new_id(OPEN_LINE % 3000)))
+        assert not draining.has_pending_connection()
+        time.sleep(0.1)
+    assert new.process.poll() is None
 
 
 class AcknowledgingSuccessor(HandoverPeer):
@@ -79,6 +119,8 @@
 def test_no_session_is_sent_before_the_successor_serves(deployment: Deployment) -> None:
     node, pairs = start_with_sessions(deployment, 4)
     successor = AcknowledgingSuccessor(deployment.folder)
+    told = json.loads(successor.receive("list")[0])
+    assert [each["name"] for each in told["answer"]["endpoints"]] == ["s-0", "s-1"] and told["is_current"]
     data, sockets = successor.receive("yours")
     assert len(sockets) == len(json.loads(data)["listening"]) == 3
     successor.channel.setblocking(False)
