--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import random
 import socket
+import threading
 import time
+from collections import Counter
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -30,6 +34,7 @@
 NO_WORK_S = 3.0  # for how long nothing may be sent to draining endpoints
 SESSION_COUNT = 60
 MANY_ENDPOINTS = 3200
+MAX_KILL_DELAY_S = 0.15  # by then a successor has received most sessions
 
 
 @pytest.fixture
@@ -217,6 +222,45 @@
     exchange_line(pairs, b"and on")
 
 
+def echo_lines(upstream: SocketPeer) -> None:
+    with contextlib.suppress(OSError, EOFError):
+        while True:
+            upstream.send(b"back " + upstream.read_line())
+
+
+def outcome(client: SocketPeer) -> str:
+    """Whether a session goes on or has ended; any other outcome is nobody's session."""
+    try:
+        client.send(b"hello\r\n")
+        assert client.read_line() == b"back hello\r\n"
+    except TimeoutError:
+        return "silent"
+    except (EOFError, ConnectionError):
+        return "ended"
+    return "goes on"
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_after_a_successor_is_killed_no_session_is_without_a_process(
+    deployment: Deployment, seed: int
+) -> None:
+    """The killed process ends the sessions that it had answered for; all others go on at the predecessor."""
+    edge = ALWAYS_HAND_OVER + edge_with_frontends()
+    old = deployment.start(edge=edge)
+    pairs = establish_requests(deployment, old, SESSION_COUNT)
+    for _, upstream in pairs:
+        threading.Thread(target=echo_lines, args=(upstream,), daemon=True).start()
+    successor = deployment.start(edge=edge, same_port_as=old, wait_until_listening=False)
+    old.wait_for_log("successor takes over")
+    time.sleep(random.Random(seed).uniform(0, MAX_KILL_DELAY_S))
+    successor.process.kill()
+    successor.process.wait()
+    old.wait_until_ready()
+    outcomes = Counter(outcome(client) for client, _ in pairs)
+    assert set(outcomes) <= {"goes on", "ended"}
+    assert old.read_metrics()["open_requests"] == outcomes["goes on"]
+
+
 # --- framing ------------------------------------------------------------------------------------------
 
 
