A drain or ban told after the majority is gone is in force once the lease ends

Cause: with a lease an answer of discovery is proposed and not applied. Once the lease ends the node's own watch counts, which asks for later changes only: the answer that was kept back was never applied. A ban was a proposal only.

Change: answers that the agreed list lacks are kept, and applied at the moment at which the lease ends, for which the check of the lease is timed now. Bans of this node's operators likewise, until the nodes have agreed on them or the operator lifts them. Within the lease nothing changes (agreement.md: T of 2 s and the grace).

--- a/puffinpost/runtime/cluster_state.py
+++ b/puffinpost/runtime/cluster_state.py
@@ -44,8 +44,10 @@
         self.history = History(cluster_config.history, cluster_config.member_config.name)
         self.consensus = self._create_consensus_driver()
         self.endpoint_list = SharedEndpointList(
-            node, cluster_config.member_config, self.consensus, self.propose
+            node, cluster_config.member_config, self.consensus, self.propose, self._on_lease_lost
         )
+        self._unagreed_bans: dict[str, int] = {}  # proposed by this node's operators, by name
+        self._applies_unagreed_bans = False  # from the end of the lease until the nodes have agreed on them
         self.replicated_state = self._create_replicated_state()
         self.consensus.restore_documents()
         node.coordinator.use_activation_guard(self)
@@ -132,7 +134,7 @@
         if document == SETTINGS_DOCUMENT:
             self._apply_settings(version.content)
         elif document == BANS_DOCUMENT and not self._replicates_bans():
-            self.apply_bans({str(name): int(since_ns) for name, since_ns in version.content.items()})
+            self._apply_agreed_bans({str(name): int(since) for name, since in version.content.items()})
         elif document == LIST_DOCUMENT:
             self.endpoint_list.apply()
         self.history.record(
@@ -177,6 +179,18 @@
 
     # --- bans -----------------------------------------------------------------------------------------
 
+    def _apply_agreed_bans(self, banned: dict[str, int]) -> None:
+        unagreed = {name: since for name, since in self._unagreed_bans.items() if name not in banned}
+        self._unagreed_bans = unagreed
+        self._applies_unagreed_bans = self._applies_unagreed_bans and bool(unagreed)
+        self.apply_bans({**unagreed, **banned} if self._applies_unagreed_bans else banned)
+
+    def _on_lease_lost(self) -> None:
+        """Applies the bans that were proposed here: without a lease they may not wait for an agreement."""
+        if self._unagreed_bans and not self._replicates_bans():
+            self._applies_unagreed_bans = True
+            self.apply_bans({**self._unagreed_bans, **self.node.ban_file.banned_since_ns})
+
     def apply_bans(self, banned: dict[str, int]) -> None:
         """Bans exactly these endpoints and updates the ban file: by name, the time of the ban (Unix, ns)."""
         ban_file = self.node.ban_file
@@ -192,7 +206,9 @@
         if self.replicated_state is not None and self.replicated_state.replicates_bans:
             return self.replicated_state.request_ban(name, since_ns)
         if since_ns is None:
+            self._unagreed_bans.pop(name, None)
             return self.propose(BANS_DOCUMENT, {"lift": [name]}, f"call back {name}")
+        self._unagreed_bans[name] = since_ns
         return self.propose(BANS_DOCUMENT, {"ban": {name: since_ns}}, f"ban {name}")
 
     def _replicates_bans(self) -> bool:
--- a/puffinpost/runtime/shared_endpoint_list.py
+++ b/puffinpost/runtime/shared_endpoint_list.py
@@ -1,7 +1,8 @@
 """Switches between the endpoint list that the cluster has agreed on and the one of this node's own watch.
 
 `ClusterState` owns it. While this node holds a lease, the agreed list is in force; without a lease, the list
-of its own watch is. It proposes lists, and leaves their acceptance to the consensus member.
+of its own watch is, with what discovery had told while the lease was held and the nodes had not agreed on. It
+proposes lists, and leaves their acceptance to the consensus member.
 """
 
 from __future__ import annotations
@@ -13,6 +14,8 @@
 from puffinpost.cluster.consensus_driver import ConsensusDriver
 from puffinpost.consensus import merged_documents
 from puffinpost.consensus.member_config import MemberConfig
+from puffinpost.discovery.endpoint_list import EndpointListError
+from puffinpost.observability import log
 from puffinpost.runtime.node_services import NodeServices
 
 LIST_DOCUMENT = merged_documents.ENDPOINT_LIST
@@ -20,6 +23,7 @@
 FOLLOWER_PROPOSAL_DELAY_S = 0.3
 NS_PER_S = 1e9
 CHECKS_PER_AGREEMENT = 4  # checks of which list is in force, within the time in which all nodes agree
+MIN_CHECK_DELAY_S = 0.001  # after the end of the lease
 
 Propose = Callable[[str, Any, str], str]
 
@@ -28,12 +32,20 @@
     """Decides whether this node polls discovery, and which list is in force."""
 
     def __init__(
-        self, node: NodeServices, member_config: MemberConfig, consensus: ConsensusDriver, propose: Propose
+        self,
+        node: NodeServices,
+        member_config: MemberConfig,
+        consensus: ConsensusDriver,
+        propose: Propose,
+        on_lease_lost: Callable[[], None],
     ) -> None:
         self.node = node
         self.member_config = member_config
         self.consensus = consensus
         self._propose = propose
+        self._on_lease_lost = on_lease_lost
+        self._had_lease = False
+        self._unagreed_answers: list[dict[str, Any]] = []  # of discovery, which the agreed list lacks
         self._last_answer: dict[str, Any] = {}  # of discovery to this node
         self._was_in_force = False
 
@@ -63,7 +75,12 @@
         proposes_now = member.leader in ("", self.member_config.name)
         delay_s = 0.0 if proposes_now else FOLLOWER_PROPOSAL_DELAY_S
         asyncio.get_running_loop().call_later(delay_s, self._propose_list, answer)
-        return self._is_in_force()
+        if not self._is_in_force():
+            return False
+        if answer.get("snapshot") is True:
+            self._unagreed_answers.clear()
+        self._unagreed_answers.append(answer)
+        return True
 
     def apply(self) -> None:
         """Applies the agreed list, if this node holds a lease."""
@@ -73,6 +90,20 @@
         coordinator = self.node.coordinator
         coordinator.endpoint_list_received(merged_documents.to_discovery_answer(version.content))
         self.node.health_checker.close_excluded(coordinator.accepts_new_work)
+        self._unagreed_answers = [
+            answer for answer in self._unagreed_answers if self._changes(version.content, answer)
+        ]
+
+    def _apply_unagreed(self) -> None:
+        """Applies what discovery has told and the nodes have not agreed on: it must not wait any longer."""
+        answers, self._unagreed_answers = self._unagreed_answers, []
+        coordinator = self.node.coordinator
+        for answer in answers:
+            try:
+                coordinator.endpoint_list_received(answer)
+            except EndpointListError as problem:
+                log.info("endpoint list rejected", reason=problem)
+        self.node.health_checker.close_excluded(coordinator.accepts_new_work)
 
     def _is_in_force(self) -> bool:
         active_versions = self.consensus.member.active_versions
@@ -84,15 +115,28 @@
     def _propose_list(self, answer: dict[str, Any]) -> None:
         version = self.consensus.member.active_versions.version(LIST_DOCUMENT)
         agreed = version.content if version is not None else None
+        if self._changes(agreed, answer):
+            self._propose(LIST_DOCUMENT, answer, f"discovery's {answer.get('index')}")
+
+    @staticmethod
+    def _changes(agreed: Any, answer: dict[str, Any]) -> bool:
+        """Whether a valid answer has anything that the agreed list lacks."""
         if merged_documents.change_problem(LIST_DOCUMENT, answer):
-            return
-        if merged_documents.merge(LIST_DOCUMENT, agreed, answer) == agreed:
-            return
-        self._propose(LIST_DOCUMENT, answer, f"discovery's {answer.get('index')}")
+            return False
+        merged: Any = merged_documents.merge(LIST_DOCUMENT, agreed, answer)
+        return bool(merged != agreed)
 
     def _check(self) -> None:
         interval_s = self.member_config.agree_within_ns / (CHECKS_PER_AGREEMENT * NS_PER_S)
-        asyncio.get_running_loop().call_later(interval_s, self._check)
+        lease = self.consensus.member.active_versions.lease
+        remaining_s = lease.remaining_ns(self.consensus.clock()) / NS_PER_S
+        has_lease = remaining_s > 0
+        delay_s = min(interval_s, remaining_s + MIN_CHECK_DELAY_S) if has_lease else interval_s
+        asyncio.get_running_loop().call_later(delay_s, self._check)
+        if self._had_lease and not has_lease:
+            self._apply_unagreed()
+            self._on_lease_lost()
+        self._had_lease = has_lease
         in_force = self._is_in_force()
         if in_force and not self._was_in_force:
             self.apply()
