A managed XMPP session that is migrated at an upgrade takes no further request

Cause: a session is handed over only without a request under way; the ending process took the next one.

Change: once migrated at a shutdown, a session refuses further requests (resource-constraint, counted as refused), so that it goes over; streams that are left at the end are closed for the successor too.

--- a/puffinpost/frontends/xmpp/frontend.py
+++ b/puffinpost/frontends/xmpp/frontend.py
@@ -66,6 +66,9 @@
         accepted.send(header + xmpp.stream_error("resource-constraint"))
 
     def close_connections(self) -> None:
-        """Ends all streams."""
+        """Ends all streams; sessions that can be resumed elsewhere stay for another process to take them."""
         for client in list(self.connections):
-            client.stream.fail("system-shutdown")
+            if client.session is not None and client.session.can_hand_over:
+                client.close_for_successor()
+            else:
+                client.stream.fail("system-shutdown")
--- a/puffinpost/frontends/xmpp/session.py
+++ b/puffinpost/frontends/xmpp/session.py
@@ -44,6 +44,7 @@
         self._stanza_handler = StanzaHandler(self)
         self._buffer = StanzaBuffer()
         self._stanzas_since_ack_request = 0
+        self._migrated_at_shutdown = False
 
     # Connections.
 
@@ -138,7 +139,13 @@
     # The request under way.
 
     def open_request(self, request: SessionRequest, iq_id: str, open_element: bytes) -> bool:
-        """Opens the client's next request; False where there is no capacity for it."""
+        """Opens the client's next request; False where there is no capacity for it, or the process ends.
+
+        After a migration at the shutdown, a request would keep the session from being handed over.
+        """
+        if self._migrated_at_shutdown:
+            self.coordinator.count_rejected(request.request_class)
+            return False
         if not self._reserve_capacity(request):
             return False
         self.open_iq_id, self._open_element = iq_id, open_element
@@ -199,6 +206,7 @@
         Only complete stanzas are ever written, so the notification never splits one.
         """
         self._notify("move")
+        self._migrated_at_shutdown = self.frontend.draining
         self.exchange = None
         if self.resumable is not None:
             self._on_exchange_ended()
--- a/tests/test_xmpp_managed.py
+++ b/tests/test_xmpp_managed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import re
 import select
 
@@ -285,6 +286,28 @@
     assert b"<item-not-found " in client.read_until(b"</iq>")
 
 
+# A client that opened its next session right after <move/> could not resume (item-not-found).
+def test_sessions_that_are_opened_after_a_move_at_an_upgrade_can_be_resumed(deployment: Deployment) -> None:
+    xmpp = XmppDeployment(deployment)
+    clients = [ManagedClient(xmpp, b"phone%d" % number) for number in range(8)]
+    upstreams = [open_session(deployment, client) for client in clients]
+    predecessor = xmpp.node
+    xmpp.node = deployment.start(edge=xmpp.edge, same_port_as=predecessor)
+    xmpp.node.wait_until_ready()
+    predecessor.process.terminate()
+    for client in clients:
+        assert b"<move " in client.receive_stanza()
+        with contextlib.suppress(ConnectionError):
+            client.peer.send(open_request(3000))
+    for client in clients:
+        assert b"<system-shutdown " in client.peer.read_until(b"</stream:stream>")
+    assert predecessor.process.wait(WAIT_TIMEOUT_S) == 0
+    assert not any(endpoint.has_pending_connection() for endpoint in deployment.endpoints)
+    for client in clients:
+        assert b"<resumed " in client.resume()
+    assert upstreams
+
+
 @pytest.mark.parametrize("disconnected", [False, True])
 def test_after_a_hot_restart_a_client_resumes_and_no_stanza_is_lost(
     deployment: Deployment, disconnected: bool
