--- a/bench/agreement.py
+++ b/bench/agreement.py
@@ -97,11 +97,11 @@
 
 async def time_proposals_on_poor_links(cluster: ProcessCluster, rounds: int, seed: int) -> list[float]:
     """As `time_proposal`, with other links silent in each round."""
-    chance = random.Random(seed)
+    rng = random.Random(seed)
     links = [(one, other) for one in cluster.names for other in cluster.names if one != other]
     times = []
     for _ in range(rounds):
-        silenced = chance.sample(links, max(1, len(links) // SILENT_LINKS))
+        silenced = rng.sample(links, max(1, len(links) // SILENT_LINKS))
         cluster.network.rules.silenced = set(silenced)
         times.append(await time_proposal(cluster))
     cluster.network.rules.heal()
--- a/bench/heard.py
+++ b/bench/heard.py
@@ -135,8 +135,8 @@
     rows, returning = gossiped_rows(simulation), len(simulation.sessions)
     simulation.restart(seed)
     for _ in range(returning):
-        node = simulation.chance.randrange(NODES)
-        simulation.schedule_request(simulation.now + simulation.chance.randrange(S), node, 0)
+        node = simulation.rng.randrange(NODES)
+        simulation.schedule_request(simulation.now + simulation.rng.randrange(S), node, 0)
     if has_gossip:
         deliver_gossip(simulation, rows)
     before = simulation.counts.copy()
--- a/bench/heard_simulation.py
+++ b/bench/heard_simulation.py
@@ -63,7 +63,7 @@
 
     def __init__(self, settings: Settings, seed: int, endpoints: int, has_bad_endpoints: bool) -> None:
         self.settings, self.has_bad_endpoints = settings, has_bad_endpoints
-        self.chance = random.Random(seed)
+        self.rng = random.Random(seed)
         self.time = VirtualTime(S)
         self.counts: Counter[str] = Counter()
         self.nodes: list[Balancer] = []
@@ -108,8 +108,8 @@
     ) -> None:
         """Schedules a tenant's requests, at one node or spread over all."""
         when = begin_ns
-        while (when := when + int(self.chance.expovariate(per_s) * S)) < end_ns:
-            target = self.chance.randrange(NODES) if node is None else node
+        while (when := when + int(self.rng.expovariate(per_s) * S)) < end_ns:
+            target = self.rng.randrange(NODES) if node is None else node
             self.schedule_request(when, target, tenant)
 
     def schedule_request(self, when_ns: int, node: int, tenant: int) -> None:
@@ -180,7 +180,7 @@
         self._load[endpoint][simulated.tenant] += 1
         self.sessions[node, request] = EstablishedSession(endpoint, simulated.tenant, attempt)
         self._deliver_later(node, SET_UP_NS, AttemptEstablished(request, attempt, endpoint, SET_UP_NS))
-        length_ns = int(self.chance.expovariate(1 / MEAN_SESSION_S) * S)
+        length_ns = int(self.rng.expovariate(1 / MEAN_SESSION_S) * S)
         self.time.at(self.now + length_ns, partial(self._session_over, self._incarnation, node, request))
         self._answer(node, request, f"served {simulated.tenant}")
 
--- a/bench/poor_links.py
+++ b/bench/poor_links.py
@@ -181,7 +181,7 @@
             handset.ended = True
         await asyncio.gather(*running)
         link.stop()
-        setups = sum(transcriber.session_count for transcriber in deployment.transcribers)
+        setups = sum(endpoint.session_count for endpoint in deployment.endpoints)
         await deployment.stop()
     tallies = [handset.tally for handset in handsets]
     first_line_s = [wait for tally in tallies for wait in tally.first_line_s]
@@ -204,7 +204,7 @@
     """Waits until all lines have arrived, or for some seconds; the lines that have."""
 
     def arrived() -> list[bytes]:
-        sessions = [lines for transcriber in deployment.transcribers for lines in transcriber.lines.values()]
+        sessions = [lines for endpoint in deployment.endpoints for lines in endpoint.lines.values()]
         return [line.rstrip() for lines in sessions for line in lines]
 
     end = time.monotonic() + DRAIN_TIMEOUT_S
--- a/puffinpost/emulator/fleet/client.py
+++ b/puffinpost/emulator/fleet/client.py
@@ -16,14 +16,14 @@
     def __init__(self, context: NodeContext) -> None:
         self.context = context
         self.environment, self.coordinator = context.environment, context.coordinator
-        self.chance, self.clock = context.chance, context.environment.clock
+        self.rng, self.clock = context.rng, context.environment.clock
         self.answers = 0
 
     def start_attempt(self, attempt: Attempt) -> None:
         """Connects after a random delay."""
-        slow = self.chance.random() < self.environment.slow_connect_probability
+        slow = self.rng.random() < self.environment.slow_connect_probability
         limit_ns = self.coordinator.settings.dial_timeout_ns
-        delay_ns = int(limit_ns * self.chance.random()) if slow else LINK_DELAY_NS
+        delay_ns = int(limit_ns * self.rng.random()) if slow else LINK_DELAY_NS
         self.clock.call_later(delay_ns, lambda: self._connected(attempt))
 
     def _connected(self, attempt: Attempt) -> None:
@@ -36,7 +36,7 @@
         name = coordinator.endpoint_list.name(attempt.endpoint)
         self.environment.rule.request_sent(self.context.number, name, self.clock.now_ns)
         coordinator.request_written(attempt)
-        elapsed_ns = int(self.chance.uniform(5, 60) * MS)
+        elapsed_ns = int(self.rng.uniform(5, 60) * MS)
         self.clock.call_later(elapsed_ns, lambda: self._answer(attempt, name))
 
     def _answer(self, attempt: Attempt, name: str) -> None:
@@ -47,7 +47,7 @@
             coordinator.attempt_ended(attempt, AttemptResult.CONNECT_FAILED)
         elif coordinator.attempt_established(attempt):
             self._final_answer()
-            session_ns = int(self.chance.expovariate(1 / MEAN_SESSION_S) * S)
+            session_ns = int(self.rng.expovariate(1 / MEAN_SESSION_S) * S)
             self.clock.call_later(
                 session_ns, lambda: coordinator.attempt_ended(attempt, AttemptResult.SERVED)
             )
--- a/puffinpost/emulator/fleet/environment.py
+++ b/puffinpost/emulator/fleet/environment.py
@@ -63,10 +63,10 @@
 
 @dataclass(slots=True)
 class NodeContext:
-    """State shared by the parts of one node's process. ``chance``: the random generator of all of them."""
+    """State shared by the parts of one node's process. ``rng``: the random generator of all of them."""
 
     number: int
     environment: Environment
     coordinator: Coordinator
-    chance: random.Random
+    rng: random.Random
     stopped: bool = False
--- a/puffinpost/emulator/fleet/fleet.py
+++ b/puffinpost/emulator/fleet/fleet.py
@@ -37,9 +37,9 @@
     def __init__(self, seed: int, node_count: int, options: FleetOptions = DEFAULT_OPTIONS) -> None:
         self.seed, self.options = seed, options
         self.clock, self.rule = Clock(), DrainRule()
-        self.chance = chance = random.Random(seed)
-        slow_connect_probability = chance.choice((0.0, 0.3))
-        arrivals_per_s = chance.choice((1.0, 4.0)) if node_count <= SMALL_FLEET_SIZE else 0.3
+        self.rng = rng = random.Random(seed)
+        slow_connect_probability = rng.choice((0.0, 0.3))
+        arrivals_per_s = rng.choice((1.0, 4.0)) if node_count <= SMALL_FLEET_SIZE else 0.3
         self.environment = Environment(
             self.clock, self.rule, options, slow_connect_probability, arrivals_per_s
         )
@@ -53,7 +53,7 @@
         documents = [record.document() for record in self.environment.endpoints.values()]
         cached_list = {"index": 1, "snapshot": True, "endpoints": documents}
         for node in self.nodes:
-            self.clock.call_later(chance.randrange(S // 5), partial(self._start, node, cached_list))
+            self.clock.call_later(rng.randrange(S // 5), partial(self._start, node, cached_list))
         self.fault = options.fault
         self._schedule_events()
 
@@ -70,15 +70,15 @@
     # --- setup ----------------------------------------------------------------------------------------
 
     def _create_discoveries(self, node_count: int) -> None:
-        chance, environment, options = self.chance, self.environment, self.options
-        round_ns = options.watch_round_s * S or S / chance.uniform(0.15, 4.0)
+        rng, environment, options = self.rng, self.environment, self.options
+        round_ns = options.watch_round_s * S or S / rng.uniform(0.15, 4.0)
         cost_ns = int(round_ns / node_count)
-        lag_ns = int(chance.uniform(0, 1.0) * S)
+        lag_ns = int(rng.uniform(0, 1.0) * S)
         environment.discoveries = [
             SimulatedDiscovery(self.clock, self.rule, cost_ns),
             SimulatedDiscovery(self.clock, self.rule, cost_ns, lag_ns, version=1000),
         ]
-        names = [f"s-{number}" for number in range(chance.randrange(3, 9))]
+        names = [f"s-{number}" for number in range(rng.randrange(3, 9))]
         environment.endpoints = {name: EndpointRecord(name) for name in names}
         for discovery in environment.discoveries:
             discovery.add_endpoints(list(environment.endpoints.values()))
@@ -87,7 +87,7 @@
             discovery.set_watch_cost(cost_ns)
 
     def _sample_settings(self, node_count: int) -> Settings:
-        chance = self.chance
+        rng = self.rng
         return Settings(
             balancer_index=0,
             balancer_count=node_count,
@@ -95,10 +95,8 @@
             zone_count=1,
             endpoint_type_count=1,
             endpoint_list_is_polled=True,
-            classes=(
-                RequestClass(latency_objective_ns=chance.choice((300, 800)) * MS, deadline_ns=4800 * MS),
-            ),
-            poll_within_ns=chance.choice((2, 5, 10)) * S,
+            classes=(RequestClass(latency_objective_ns=rng.choice((300, 800)) * MS, deadline_ns=4800 * MS),),
+            poll_within_ns=rng.choice((2, 5, 10)) * S,
             drain_grace_ns=500 * MS,
             warmup_initial_capacity=0.3,
             warmup_duration_ns=9 * S,
@@ -107,8 +105,8 @@
             processing_interval_ns=50 * MS,
             max_attempts=5,
             max_retry_after_ns=2 * S,
-            dial_timeout_ns=chance.choice((250, 1500)) * MS,
-            health_checks_enabled=chance.random() < 0.5,
+            dial_timeout_ns=rng.choice((250, 1500)) * MS,
+            health_checks_enabled=rng.random() < 0.5,
             cancellation_enabled=True,
             load_report_fields=("x0", "concurrent"),
         )
@@ -126,19 +124,19 @@
 
     def _schedule_events(self) -> None:
         """Schedules one fault, and batches of changes at random times, as close as discovery's period."""
-        chance = self.chance
-        at, period = chance.uniform(0.1, 0.3), chance.uniform(0.18, 1.5) * S / self.span_ns
+        rng = self.rng
+        at, period = rng.uniform(0.1, 0.3), rng.uniform(0.18, 1.5) * S / self.span_ns
         while at < 0.95:
             self._at(at, self._change_endpoints)
-            at += period * chance.choice((1, 1, 2, 8)) + chance.uniform(0, 0.004)
-        begins = chance.uniform(0.2, 0.6)
-        ends = begins + chance.uniform(0.02, 0.25)
+            at += period * rng.choice((1, 1, 2, 8)) + rng.uniform(0, 0.004)
+        begins = rng.uniform(0.2, 0.6)
+        ends = begins + rng.uniform(0.02, 0.25)
         if self.fault is None:
-            self.fault = chance.choice(SAMPLED_FAULTS)
+            self.fault = rng.choice(SAMPLED_FAULTS)
         self._schedule_fault(self.fault, begins, ends)
 
     def _schedule_fault(self, fault: FleetFault, begins: float, ends: float) -> None:
-        chance = self.chance
+        rng = self.rng
         discovery, other_discovery = self.environment.discoveries
         match fault:
             case FleetFault.NONE:
@@ -150,10 +148,10 @@
                 self._at(begins, discovery.stall)
                 self._at(ends, discovery.recover)
             case FleetFault.DISCOVERY_RESTARTED:
-                self._at(begins, lambda: discovery.restart(chance.choice((1, 2, 5000))))
+                self._at(begins, lambda: discovery.restart(rng.choice((1, 2, 5000))))
             case FleetFault.DISCOVERY_REPLACED:
                 for node in self.nodes:
-                    self._at(begins + chance.uniform(0, 0.02), partial(node.redirect, other_discovery))
+                    self._at(begins + rng.uniform(0, 0.02), partial(node.redirect, other_discovery))
             case FleetFault.DISCOVERY_SLOW:
                 self._at(begins, lambda: discovery.set_watch_cost(discovery.watch_cost_ns * SLOWDOWN_FACTOR))
                 self._at(ends, lambda: discovery.set_watch_cost(discovery.watch_cost_ns // SLOWDOWN_FACTOR))
@@ -164,11 +162,11 @@
 
     def _kill_nodes(self) -> None:
         """Kills 70% of the nodes at once; they restart 0.5 to 5.6 s later, with the lists that they had."""
-        down_ns = int(self.chance.uniform(0.5, 5.5) * S)
+        down_ns = int(self.rng.uniform(0.5, 5.5) * S)
         count = max(1, len(self.nodes) * 7 // 10)
-        for number in self.chance.sample(range(len(self.nodes)), count):
+        for number in self.rng.sample(range(len(self.nodes)), count):
             cached_list = self.nodes[number].kill()
-            after_ns = down_ns + self.chance.randrange(S // 10)
+            after_ns = down_ns + self.rng.randrange(S // 10)
             self.clock.call_later(after_ns, partial(self._restart, number, cached_list))
 
     def _restart(self, number: int, cached_list: ListDocument) -> None:
@@ -180,21 +178,21 @@
 
     def _change_endpoints(self) -> None:
         """Changes a batch of endpoints: some drain, some are removed, some are available again."""
-        chance = self.chance
+        rng = self.rng
         records = list(self.environment.endpoints.values())
-        batch = chance.sample(records, chance.randrange(1, max(2, len(records) // 2)))
+        batch = rng.sample(records, rng.randrange(1, max(2, len(records) // 2)))
         for record in batch:
             self._change_endpoint(record)
         for discovery in self.environment.discoveries:
             discovery.publish([replace(record) for record in batch])
-        if chance.random() < 0.2:
-            self.clock.call_later(chance.randrange(1, 60) * MS, self._change_endpoints)
+        if rng.random() < 0.2:
+            self.clock.call_later(rng.randrange(1, 60) * MS, self._change_endpoints)
 
     def _change_endpoint(self, record: EndpointRecord) -> None:
-        chance = self.chance
+        rng = self.rng
         if record.status == "up":
-            record.status = chance.choice(("draining", "draining", "removed"))
-        elif record.status == "draining" and chance.random() < 0.5:
+            record.status = rng.choice(("draining", "draining", "removed"))
+        elif record.status == "draining" and rng.random() < 0.5:
             record.status = "removed"
         else:
             record.status, record.since_ms = "up", max(1, self.clock.now_ns // MS)
--- a/puffinpost/emulator/fleet/node.py
+++ b/puffinpost/emulator/fleet/node.py
@@ -33,11 +33,11 @@
     def __init__(self, environment: Environment, number: int, settings: Settings, seed: int) -> None:
         self.environment, self.clock = environment, environment.clock
         self.endpoint_list = EndpointList(("amman",), ("large",))
-        chance = random.Random(seed)
+        rng = random.Random(seed)
         self.coordinator = Coordinator(
             settings, ("a",), seed, self.endpoint_list, self.clock, self, Counters()
         )
-        self.context = NodeContext(number, environment, self.coordinator, chance)
+        self.context = NodeContext(number, environment, self.coordinator, rng)
         self.poller = Poller(self.context)
 
     # --- Ports ----------------------------------------------------------------------------------------
@@ -103,9 +103,9 @@
         """A client opens a request; the next client follows after a random time."""
         if self.context.stopped:
             return
-        chance = self.context.chance
-        deadline_ns = chance.choice(DEADLINES_MS) * MS
-        request = SessionRequest(0, deadline_ns, key=chance.getrandbits(32))
+        rng = self.context.rng
+        deadline_ns = rng.choice(DEADLINES_MS) * MS
+        request = SessionRequest(0, deadline_ns, key=rng.getrandbits(32))
         self.coordinator.open(request, SimulatedClient(self.context))
-        next_ns = int(chance.expovariate(self.environment.arrivals_per_s) * S)
+        next_ns = int(rng.expovariate(self.environment.arrivals_per_s) * S)
         self.clock.call_later(next_ns, self._open_request)
--- a/puffinpost/emulator/fleet/poller.py
+++ b/puffinpost/emulator/fleet/poller.py
@@ -125,7 +125,7 @@
         now_ns = self.clock.now_ns
         changed = bool(result["endpoints"])
         pause_ns = self.watch_state.on_answer(changed, now_ns - began_ns, now_ns, outdated)
-        pause_ns += int(self.environment.options.pause_after_answer_s * S * self.context.chance.random())
+        pause_ns += int(self.environment.options.pause_after_answer_s * S * self.context.rng.random())
         self.clock.call_later(pause_ns, lambda: self._call(watch))
 
     def _handle_late_answer(self, document: ListDocument) -> None:
--- a/puffinpost/emulator/local_deployment.py
+++ b/puffinpost/emulator/local_deployment.py
@@ -18,8 +18,8 @@
 from puffinpost.emulator.stand_ins import (
     HOST,
     StandInDiscovery,
-    StandInTranscriber,
-    StandInXmppTranscriber,
+    StandInEndpoint,
+    StandInXmppEndpoint,
     ignore_event,
 )
 
@@ -47,23 +47,23 @@
     def __init__(
         self,
         folder: Path,
-        transcribers: int = 2,
+        endpoints: int = 2,
         extra_config: str = "",
         on_event: Callable[[str], None] = ignore_event,
     ) -> None:
         self.folder = folder
         self.extra_config = extra_config
-        self.transcribers = [StandInTranscriber(f"s-{number}", on_event) for number in range(transcribers)]
-        self.xmpp_transcriber = StandInXmppTranscriber(on_event)
-        self.discovery = StandInDiscovery(self.transcribers)
+        self.endpoints = [StandInEndpoint(f"s-{number}", on_event) for number in range(endpoints)]
+        self.xmpp_endpoint = StandInXmppEndpoint(on_event)
+        self.discovery = StandInDiscovery(self.endpoints)
         self.lines_port, self.xmpp_port, self.mqtt_port, self.console_port = (free_port() for _ in range(4))
         self.node: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
         """Starts everything; the node accepts clients once this returns. Raises ``RuntimeError``."""
-        for transcriber in self.transcribers:
-            await transcriber.start()
-        await self.xmpp_transcriber.start()
+        for endpoint in self.endpoints:
+            await endpoint.start()
+        await self.xmpp_endpoint.start()
         await self.discovery.start()
         self.node = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -110,7 +110,7 @@
         path = self.folder / "edge.toml"
         path.write_text(
             f'[xmpp]\nlisten = "{HOST}:{self.xmpp_port}"\nmechanisms = ["ANONYMOUS"]\n'
-            f"[xmpp.transcribers]\nport = {self.xmpp_transcriber.port}\n"
+            f"[xmpp.transcribers]\nport = {self.xmpp_endpoint.port}\n"
             f'[mqtt]\nlisten = "{HOST}:{self.mqtt_port}"\nanonymous = true\n{self.extra_config}'
         )
         return path
--- a/puffinpost/emulator/mesh/consensus_faults.py
+++ b/puffinpost/emulator/mesh/consensus_faults.py
@@ -85,7 +85,7 @@
             profile.agree_within_ns, profile.fanout, planted, profile.clock_drift, profile.on_lost
         )
         self.cluster = VirtualCluster(seed, profile.voters, profile.followers, settings)
-        self.chance = self.cluster.chance
+        self.rng = self.cluster.rng
         self.names = list(self.cluster.nodes)
         self.voters = self.names[: profile.voters]
         self._proposals = 0
@@ -95,7 +95,7 @@
         cluster, profile = self.cluster, self.profile
         cluster.run(START_NS)
         last_fault_ns = schedule_events(
-            cluster, self.chance, profile, self._inject_fault, profile.proposals, self._propose
+            cluster, self.rng, profile, self._inject_fault, profile.proposals, self._propose
         )
         cluster.run(last_fault_ns + profile.duration_ns[1] - cluster.now)
         cluster.heal()
@@ -123,14 +123,14 @@
         running = [name for name, node in self.cluster.nodes.items() if node.member is not None]
         self._proposals += 1
         if running:
-            share = self.chance.choice([1.0, 1.0, 1.0, 0.5])
-            self.cluster.propose(self.chance.choice(running), {"version": self._proposals}, share)
+            share = self.rng.choice([1.0, 1.0, 1.0, 0.5])
+            self.cluster.propose(self.rng.choice(running), {"version": self._proposals}, share)
 
     def _inject_fault(self) -> None:
         """Injects one fault, and schedules its end."""
-        cluster, chance = self.cluster, self.chance
-        fault, name = chance.choice(ALL_FAULTS), chance.choice(self.names)
-        duration_ns = chance.randint(*self.profile.duration_ns)
+        cluster, rng = self.cluster, self.rng
+        fault, name = rng.choice(ALL_FAULTS), rng.choice(self.names)
+        duration_ns = rng.randint(*self.profile.duration_ns)
         ends_ns = cluster.now + duration_ns
         cluster.record(name, EventKind.FAULT, subject=fault.value)
         match fault:
@@ -138,25 +138,25 @@
                 cluster.kill(name)
                 cluster.at(ends_ns, partial(self._restart, name))
             case ConsensusFault.KILL_AT_WRITE:
-                cluster.nodes[name].crash_point = chance.choice(list(CrashPoint))
+                cluster.nodes[name].crash_point = rng.choice(list(CrashPoint))
                 cluster.at(ends_ns, partial(self._restart, name))
             case ConsensusFault.LOST_FOLDER:
                 if name not in self.voters:  # a voter returns by an operator's command
                     cluster.kill(name, folder=False)
                     cluster.at(ends_ns, partial(self._restart, name))
             case ConsensusFault.PAUSE:
-                if chance.random() < LONG_PAUSE_PROBABILITY:
-                    duration_ns = chance.randrange(self.profile.max_pause_ns)
+                if rng.random() < LONG_PAUSE_PROBABILITY:
+                    duration_ns = rng.randrange(self.profile.max_pause_ns)
                 cluster.pause(name, duration_ns)
             case ConsensusFault.CUT | ConsensusFault.CUT_ONE_WAY:
                 self._cut(fault is ConsensusFault.CUT_ONE_WAY, ends_ns)
             case ConsensusFault.SLOW_LINK:
                 for target in self.names:
-                    cluster.delay_ns[name, target] = chance.randrange(MAX_LINK_DELAY_NS)
+                    cluster.delay_ns[name, target] = rng.randrange(MAX_LINK_DELAY_NS)
                 cluster.at(ends_ns, cluster.delay_ns.clear)
 
     def _cut(self, one_way: bool, ends_ns: int) -> None:
-        side = {name for name in self.names if self.chance.random() < CUT_PROBABILITY}
+        side = {name for name in self.names if self.rng.random() < CUT_PROBABILITY}
         self.cluster.cut_links(side, set(self.names) - side, one_way)
         self.cluster.at(ends_ns, self.cluster.cut.clear)
 
--- a/puffinpost/emulator/mesh/fault_schedule.py
+++ b/puffinpost/emulator/mesh/fault_schedule.py
@@ -34,7 +34,7 @@
 
 def schedule_events(
     simulation: Simulation,
-    chance: random.Random,
+    rng: random.Random,
     profile: FaultProfile,
     inject_fault: Callable[[], None],
     operations: int,
@@ -43,9 +43,9 @@
     """Schedules the faults, and operations at random times among them; returns the last fault's time."""
     when_ns = simulation.now
     for _ in range(profile.faults):
-        when_ns += chance.randint(*profile.spacing_ns)
+        when_ns += rng.randint(*profile.spacing_ns)
         simulation.at(when_ns, inject_fault)
     span_ns = when_ns - simulation.now + OPERATION_OVERLAP_NS
     for _ in range(operations):
-        simulation.at(simulation.now + chance.randrange(span_ns), operate)
+        simulation.at(simulation.now + rng.randrange(span_ns), operate)
     return when_ns
--- a/puffinpost/emulator/mesh/load_generator.py
+++ b/puffinpost/emulator/mesh/load_generator.py
@@ -32,7 +32,7 @@
         self, nodes: dict[str, NodeProcess], recorder: EventRecorder, per_s: float, seed: int
     ) -> None:
         self.nodes, self.recorder, self.interval_s = nodes, recorder, 1.0 / per_s
-        self.chance = random.Random(seed)
+        self.rng = random.Random(seed)
         self.session_ids = itertools.count(FIRST_SESSION_ID)
         self.answers: Counter[tuple[int, str]] = Counter()  # by second and first word
         self.closed = False
@@ -59,7 +59,7 @@
 
     async def _generate(self, node: NodeProcess) -> None:
         while not self.closed:
-            await asyncio.sleep(self.interval_s * (0.5 + self.chance.random()))
+            await asyncio.sleep(self.interval_s * (0.5 + self.rng.random()))
             if node.child is not None and not self.closed:
                 task = asyncio.ensure_future(self._request(node))
                 self._requests.add(task)
--- a/puffinpost/emulator/mesh/network.py
+++ b/puffinpost/emulator/mesh/network.py
@@ -31,7 +31,7 @@
     """
 
     def __init__(self, seed: int) -> None:
-        self.chance = random.Random(seed)
+        self.rng = random.Random(seed)
         self.silenced: set[Direction] = set()
         self.delay_s: dict[Direction, float] = {}
         self.jitter_s: dict[Direction, float] = {}
@@ -40,7 +40,7 @@
 
     def transit_s(self, direction: Direction, size: int) -> float:
         """How long a piece of this size is on its way."""
-        jitter_s = self.jitter_s.get(direction, 0.0) * self.chance.random()
+        jitter_s = self.jitter_s.get(direction, 0.0) * self.rng.random()
         bytes_per_s = self.bytes_per_s.get(direction, 0.0)
         transmission_s = size / bytes_per_s if bytes_per_s else 0.0
         return self.delay_s.get(direction, 0.0) + jitter_s + transmission_s
--- a/puffinpost/emulator/mesh/process_cluster.py
+++ b/puffinpost/emulator/mesh/process_cluster.py
@@ -29,7 +29,7 @@
 from puffinpost.emulator.mesh.network import ProxiedNetwork
 from puffinpost.emulator.mesh.node_process import NodeProcess
 from puffinpost.emulator.platform_settings import PLATFORM_SETTINGS
-from puffinpost.emulator.stand_ins import StandInDiscovery, StandInTranscriber
+from puffinpost.emulator.stand_ins import StandInDiscovery, StandInEndpoint
 
 __all__ = ["CLUSTER_ID", "ClusterOptions", "ProcessCluster"]
 
@@ -61,16 +61,16 @@
         self.nodes: dict[str, NodeProcess] = {}
         self.load: LoadGenerator | None = None
 
-    async def start(self, transcribers: int = 2, per_s: float = 10.0, wait: bool = True) -> None:
+    async def start(self, endpoints: int = 2, per_s: float = 10.0, wait: bool = True) -> None:
         """Starts everything, with ``per_s`` requests a second at each node.
 
         With ``wait``, all nodes hold a lease and act on one version once it returns.
         """
         self.network = ProxiedNetwork(self.options.seed, self.cluster_addresses)
-        self.transcribers = [StandInTranscriber(f"s-{number}") for number in range(transcribers)]
-        for transcriber in self.transcribers:
-            await transcriber.start()
-        self.discovery = StandInDiscovery(self.transcribers)
+        self.endpoints = [StandInEndpoint(f"s-{number}") for number in range(endpoints)]
+        for endpoint in self.endpoints:
+            await endpoint.start()
+        self.discovery = StandInDiscovery(self.endpoints)
         await self.discovery.start()
         for name in self.names:
             self.nodes[name] = self._create_process(name)
--- a/puffinpost/emulator/mesh/replication_faults.py
+++ b/puffinpost/emulator/mesh/replication_faults.py
@@ -104,7 +104,7 @@
     def __init__(self, seed: int, profile: ReplicationFaultProfile) -> None:
         self.profile = profile
         self.cluster = VirtualReplicaCluster(seed, profile.nodes, tombstone_retention_ms=profile.tombstone_ms)
-        self.chance = self.cluster.chance
+        self.rng = self.cluster.rng
         self.result = ReplicationRun(seed)
         self._checksums: dict[tuple[Origin, int], int] = {}  # of each row, by its sequence number
         self._disk_copies: dict[str, Disk] = {}
@@ -114,7 +114,7 @@
         cluster, profile = self.cluster, self.profile
         cluster.run(START_NS)
         last_fault_ns = schedule_events(
-            cluster, self.chance, profile, self._inject_fault, profile.writes, self._write
+            cluster, self.rng, profile, self._inject_fault, profile.writes, self._write
         )
         while cluster.now < last_fault_ns + profile.duration_ns[1]:
             cluster.run(CHECK_INTERVAL_NS)
@@ -138,25 +138,25 @@
 
     def _write(self) -> None:
         """Writes a random value at a random node."""
-        chance, cluster = self.chance, self.cluster
-        name, endpoint = chance.choice(cluster.names), f"s-{chance.randrange(self.profile.endpoints)}"
-        kind = chance.choice(WRITE_KINDS)
-        value: row_values.RowValue = TenantUsage((chance.randrange(9), 1))
+        rng, cluster = self.rng, self.cluster
+        name, endpoint = rng.choice(cluster.names), f"s-{rng.randrange(self.profile.endpoints)}"
+        kind = rng.choice(WRITE_KINDS)
+        value: row_values.RowValue = TenantUsage((rng.randrange(9), 1))
         if kind == BAN:
-            value = Ban(chance.choice((0, chance.randrange(1, 10**9))), name)
+            value = Ban(rng.choice((0, rng.randrange(1, 10**9))), name)
         elif kind == ENDPOINT_OBSERVATION:
-            value = EndpointObservation(1, chance.random() * 50, 0, False, 3.0)
+            value = EndpointObservation(1, rng.random() * 50, 0, False, 3.0)
         elif kind == ATTEMPT_COUNTS:
-            value = AttemptCounts(1, chance.randrange(100))
+            value = AttemptCounts(1, rng.randrange(100))
         cluster.write(name, kind, name if kind == TENANT_USAGE else endpoint, value)
 
     # --- faults ---------------------------------------------------------------------------------------
 
     def _inject_fault(self) -> None:
         """Injects one fault, and schedules its end."""
-        cluster, chance = self.cluster, self.chance
-        fault, name = chance.choice(ALL_FAULTS), chance.choice(cluster.names)
-        duration_ns = chance.randint(*self.profile.duration_ns)
+        cluster, rng = self.cluster, self.rng
+        fault, name = rng.choice(ALL_FAULTS), rng.choice(cluster.names)
+        duration_ns = rng.randint(*self.profile.duration_ns)
         ends_ns = cluster.now + duration_ns
         node = cluster.nodes[name]
         self.result.faults.append(f"{cluster.now / 1e9:.2f} s {name} {fault.value} {duration_ns / 1e9:.2f} s")
@@ -168,7 +168,7 @@
             case ReplicationFault.DAMAGING:
                 cluster.transform = self._damage_message
             case ReplicationFault.CLOCK_STEP:
-                node.clock_offset_ms = chance.randint(-MAX_OFFSET_MS, MAX_OFFSET_MS)
+                node.clock_offset_ms = rng.randint(-MAX_OFFSET_MS, MAX_OFFSET_MS)
             case ReplicationFault.PAUSE:
                 cluster.pause(name)
                 cluster.at(ends_ns, partial(self._resume, name))
@@ -179,13 +179,13 @@
                 cluster.at(ends_ns, partial(self._restart, name))
 
     def _impair_links(self, fault: ReplicationFault, name: str, ends_ns: int) -> None:
-        cluster, chance = self.cluster, self.chance
+        cluster, rng = self.cluster, self.rng
         if fault is ReplicationFault.SLOW:
             for other in cluster.names:
-                cluster.delay_ns[name, other] = chance.randrange(MAX_LINK_DELAY_NS)
+                cluster.delay_ns[name, other] = rng.randrange(MAX_LINK_DELAY_NS)
             cluster.at(ends_ns, cluster.delay_ns.clear)
             return
-        side = {each for each in cluster.names if chance.random() < CUT_PROBABILITY}
+        side = {each for each in cluster.names if rng.random() < CUT_PROBABILITY}
         cluster.isolate(side)
         if fault is ReplicationFault.CUT_ONE_WAY:
             cluster.cut_links = {link for link in cluster.cut_links if link[0] in side}
@@ -212,7 +212,7 @@
             self.cluster.resume(name)
 
     def _damage_message(self, message: Message) -> Message:
-        if not isinstance(message, RowsResponse) or self.chance.random() > DAMAGE_PROBABILITY:
+        if not isinstance(message, RowsResponse) or self.rng.random() > DAMAGE_PROBABILITY:
             return message
         chunks = [
             msgspec.structs.replace(chunk, rows=[self._maybe_damage(row) for row in chunk.rows])
@@ -221,7 +221,7 @@
         return RowsResponse(chunks)
 
     def _maybe_damage(self, row: Row) -> Row:
-        return _damage_row(row) if self.chance.random() < DAMAGE_PROBABILITY else row
+        return _damage_row(row) if self.rng.random() < DAMAGE_PROBABILITY else row
 
     # --- checks ---------------------------------------------------------------------------------------
 
--- a/puffinpost/emulator/mesh/scenario_player.py
+++ b/puffinpost/emulator/mesh/scenario_player.py
@@ -48,7 +48,7 @@
     """One play of a scenario on one cluster."""
 
     def __init__(self, scenario: Scenario, folder: Path, seed: int) -> None:
-        self.scenario, self.chance = scenario, random.Random(seed)
+        self.scenario, self.rng = scenario, random.Random(seed)
         names = [f"n{number}" for number in range(scenario.nodes)]
         options = ClusterOptions(
             seed=seed,
@@ -211,14 +211,14 @@
     # --- random faults and proposals ------------------------------------------------------------------
 
     async def _inject_random_faults(self, began: float) -> None:
-        random_faults, chance = self.scenario.random_faults, self.chance
+        random_faults, rng = self.scenario.random_faults, self.rng
         active_until: list[float] = []
         when = began
         while random_faults.span_s:
-            when += chance.uniform(*random_faults.interval_s)
-            duration_s, kind = chance.uniform(*random_faults.duration_s), chance.choice(random_faults.kinds)
-            name = chance.choice(self.cluster.names)
-            others = [other for other in self.cluster.names if chance.random() < 0.5]
+            when += rng.uniform(*random_faults.interval_s)
+            duration_s, kind = rng.uniform(*random_faults.duration_s), rng.choice(random_faults.kinds)
+            name = rng.choice(self.cluster.names)
+            others = [other for other in self.cluster.names if rng.random() < 0.5]
             if when > began + random_faults.span_s:
                 return
             active_until = [end for end in active_until if end > when]
@@ -231,12 +231,12 @@
         random_faults = self.scenario.random_faults
         when = began
         while random_faults.span_s and random_faults.proposal_interval_s:
-            when += random_faults.proposal_interval_s * self.chance.uniform(0.5, 1.5)
+            when += random_faults.proposal_interval_s * self.rng.uniform(0.5, 1.5)
             if when > began + random_faults.span_s:
                 return
             running = [node.name for node in self.cluster.running]
             if running:
-                step = Step(at_s=0, kind="propose", node=self.chance.choice(running))
+                step = Step(at_s=0, kind="propose", node=self.rng.choice(running))
                 await self._at(when, self._run_step(step))
 
 
--- a/puffinpost/emulator/mesh/virtual_consensus.py
+++ b/puffinpost/emulator/mesh/virtual_consensus.py
@@ -52,7 +52,7 @@
         settings: VirtualClusterSettings = DEFAULT_SETTINGS,
         check: ContentCheck = accept_all,
     ) -> None:
-        self.chance = random.Random(seed)
+        self.rng = random.Random(seed)
         self.time = VirtualTime()
         self.events: list[Event] = []
         self.check, self.settings = check, settings
@@ -60,7 +60,7 @@
         self.delay_ns: dict[tuple[str, str], int] = {}
         self.messages_sent = 0
         names = tuple(f"n{number}" for number in range(voters + followers))
-        self.nodes = {name: create_node(name, names, names[:voters], settings, self.chance) for name in names}
+        self.nodes = {name: create_node(name, names, names[:voters], settings, self.rng) for name in names}
         for name in names:
             self.start(name)
 
@@ -90,7 +90,7 @@
             node.config,
             node.disk.identity,
             node.disk.persistent_state() if is_voter else None,
-            random.Random(self.chance.random()),
+            random.Random(self.rng.random()),
             node.local_time(self.now),
             functools.partial(self.check, name),
         )
@@ -133,7 +133,7 @@
             if node.runs(incarnation) and node.deferred is deferred:
                 node.deferred = None
                 self._act(node, incarnation, repeat=False)  # its first instruction may be a send
-                self.chance.shuffle(deferred)
+                self.rng.shuffle(deferred)
                 for callback in deferred:
                     callback()
 
@@ -201,7 +201,7 @@
             return
         identity = self.nodes[sender].disk.identity
         delay_ns = self.delay_ns.get((sender, target), 0)
-        delay_ns += int(self.chance.expovariate(1 / MEAN_LATENCY_NS)) + MIN_LATENCY_NS
+        delay_ns += int(self.rng.expovariate(1 / MEAN_LATENCY_NS)) + MIN_LATENCY_NS
         self.at(self.now + delay_ns, lambda: self._deliver(sender, identity, target, message))
 
     def _deliver(self, sender: str, identity: str, target: str, message: Message) -> None:
@@ -247,7 +247,7 @@
         if node.deferred is None:
             self._record_act(node, node.member)
         if repeat:
-            wait_ns = ACT_INTERVAL_NS // 2 + self.chance.randrange(ACT_INTERVAL_NS)
+            wait_ns = ACT_INTERVAL_NS // 2 + self.rng.randrange(ACT_INTERVAL_NS)
             self.at(self.now + wait_ns, lambda: self._act(node, incarnation))
 
     def _record_act(self, node: VirtualNode, member: Member) -> None:
--- a/puffinpost/emulator/mesh/virtual_node.py
+++ b/puffinpost/emulator/mesh/virtual_node.py
@@ -99,7 +99,7 @@
     names: tuple[str, ...],
     voters: tuple[str, ...],
     settings: VirtualClusterSettings,
-    chance: random.Random,
+    rng: random.Random,
 ) -> VirtualNode:
     """A machine without a process, whose clock's rate and offset are drawn."""
     config = MemberConfig(
@@ -112,8 +112,8 @@
         faults=settings.planted_faults,
         lost_lease_policy=settings.on_lost,
     )
-    rate = 1.0 + settings.clock_drift * chance.choice([-1.0, 0.0, 1.0, chance.uniform(-1, 1)])
-    return VirtualNode(config, Disk(f"{name}.0"), rate, chance.randrange(MAX_CLOCK_OFFSET_NS))
+    rate = 1.0 + settings.clock_drift * rng.choice([-1.0, 0.0, 1.0, rng.uniform(-1, 1)])
+    return VirtualNode(config, Disk(f"{name}.0"), rate, rng.randrange(MAX_CLOCK_OFFSET_NS))
 
 
 def _do_nothing() -> None:
--- a/puffinpost/emulator/mesh/virtual_replication.py
+++ b/puffinpost/emulator/mesh/virtual_replication.py
@@ -75,7 +75,7 @@
     """
 
     def __init__(self, seed: int, nodes: int, **limits: int) -> None:
-        self.chance = random.Random(seed)
+        self.rng = random.Random(seed)
         self.time = VirtualTime(S)
         self.names = tuple(f"n{number:03}" for number in range(nodes))
         self.limits = limits
@@ -126,7 +126,7 @@
         rows = [(origin, row) for (origin, _), row in node.disk.rows.items()]
         member = Member(
             config,
-            random.Random(f"{name}.{node.incarnations}.{self.chance.random()}"),
+            random.Random(f"{name}.{node.incarnations}.{self.rng.random()}"),
             self.now,
             lambda: EPOCH_MS + self.now // MS + node.clock_offset_ms,
             self._count,
@@ -227,7 +227,7 @@
         if output.changes:
             positions = member.replicas.stored_positions()
             node.write_done_at = max(
-                node.write_done_at, self.now + self.chance.randrange(1, MAX_WRITE_NS // MS) * MS
+                node.write_done_at, self.now + self.rng.randrange(1, MAX_WRITE_NS // MS) * MS
             )
             self.at(node.write_done_at, lambda: self._written(node, member, output.changes, positions))
         for target, message in output.messages:
@@ -257,15 +257,15 @@
         encoded = msgspec.msgpack.encode(message)
         self.bytes_sent[sender] += len(encoded) + FRAME_OVERHEAD_BYTES
         self.messages_sent[type(message).__name__] += 1
-        if self.chance.random() < self.loss_probability:
+        if self.rng.random() < self.loss_probability:
             return
         link = sender, target
-        arrives = self.now + self.delay_ns.get(link, MS) + self.chance.randrange(MS)
+        arrives = self.now + self.delay_ns.get(link, MS) + self.rng.randrange(MS)
         arrives = max(arrives, self._last_arrival[link])
         self._last_arrival[link] = arrives  # a link keeps its order
         self.at(arrives, lambda: self._deliver(link, encoded))
-        if self.chance.random() < self.duplicate_probability:
-            again = arrives + self.chance.randrange(MAX_DUPLICATE_DELAY_NS)
+        if self.rng.random() < self.duplicate_probability:
+            again = arrives + self.rng.randrange(MAX_DUPLICATE_DELAY_NS)
             self.at(again, lambda: self._deliver(link, encoded))
 
     def _deliver(self, link: Link, encoded: bytes) -> None:
--- a/puffinpost/emulator/stand_ins.py
+++ b/puffinpost/emulator/stand_ins.py
@@ -42,7 +42,7 @@
         raise NotImplementedError
 
 
-class StandInTranscriber(StandIn):
+class StandInEndpoint(StandIn):
     """Accepts sessions in the platform's line protocol. ``lines``: what was received, by the session's id."""
 
     def __init__(self, name: str, on_event: Callable[[str], None] = ignore_event) -> None:
@@ -77,7 +77,7 @@
             await writer.drain()
 
 
-class StandInXmppTranscriber(StandIn):
+class StandInXmppEndpoint(StandIn):
     """Accepts every session over XMPP, and sends each message back."""
 
     def __init__(self, on_event: Callable[[str], None] = ignore_event) -> None:
@@ -98,8 +98,8 @@
 class _EchoStream:
     """The owner of one XMPP stream that a node has opened."""
 
-    def __init__(self, transcriber: StandInXmppTranscriber, writer: asyncio.StreamWriter) -> None:
-        self.transcriber = transcriber
+    def __init__(self, endpoint: StandInXmppEndpoint, writer: asyncio.StreamWriter) -> None:
+        self.endpoint = endpoint
         self.writer = writer
 
     def write_data(self, data: bytes) -> None:
@@ -126,10 +126,10 @@
             self._accept_session(element)
 
     def _accept_session(self, request: xmpp.Element) -> None:
-        transcriber = self.transcriber
-        transcriber.session_count += 1
-        transcriber.on_event("a session over XMPP is taken")
-        receipt = f"<up xmlns='urn:puffinpost:session:0' receipt='{transcriber.session_count}'/>".encode()
+        endpoint = self.endpoint
+        endpoint.session_count += 1
+        endpoint.on_event("a session over XMPP is taken")
+        receipt = f"<up xmlns='urn:puffinpost:session:0' receipt='{endpoint.session_count}'/>".encode()
         attributes = {"type": "result", "id": request.attributes.get("id", "")}
         self.writer.write(xmpp.stanza("iq", attributes, receipt))
 
@@ -137,9 +137,9 @@
 class StandInDiscovery(StandIn):
     """Serves a list of transcribers, and lets watches wait for a change of it."""
 
-    def __init__(self, transcribers: list[StandInTranscriber]) -> None:
+    def __init__(self, endpoints: list[StandInEndpoint]) -> None:
         super().__init__()
-        self.transcribers = transcribers
+        self.endpoints = endpoints
         self.index = 1
         self.statuses: dict[str, str] = {}
         self._responsive = asyncio.Event()
@@ -165,16 +165,16 @@
         """The full list, in discovery's form."""
         entries = [
             {
-                "name": transcriber.name,
-                "address": f"{HOST}:{transcriber.port}",
+                "name": endpoint.name,
+                "address": f"{HOST}:{endpoint.port}",
                 "zone": "amman",
                 "type": "large",
                 "group": 0,
-                "status": self.statuses.get(transcriber.name, "up"),
+                "status": self.statuses.get(endpoint.name, "up"),
                 "weight": 1.0,
                 "since_ms": 0,
             }
-            for transcriber in self.transcribers
+            for endpoint in self.endpoints
         ]
         return {"index": self.index, "snapshot": True, "endpoints": entries}
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -41,6 +41,3 @@
         assert "Traceback" not in node.log_path.read_text()
     with contextlib.suppress(OSError):
         deployment.discovery.listener.socket.close()
-
-
-StartNode = Callable[..., NodeProcess]
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -298,7 +298,7 @@
         assert {it.subject for it in cluster.events() if it.kind == "sent"} == {"s-0", "s-1", "s-2"}
         assert cluster.discovery.call_count - polls_before < 60  # only the voters poll
 
-    run_cluster(scenario, ProcessCluster(tmp_path, 7, 3), per_s=10, transcribers=3)
+    run_cluster(scenario, ProcessCluster(tmp_path, 7, 3), per_s=10, endpoints=3)
 
 
 def test_a_ban_and_its_removal_reach_all_nodes(tmp_path: Path) -> None:
@@ -316,7 +316,7 @@
         ] == "rejected"
         assert await cluster.check() == []
 
-    run_cluster(scenario, ProcessCluster(tmp_path, 5, 3), per_s=10, transcribers=2)
+    run_cluster(scenario, ProcessCluster(tmp_path, 5, 3), per_s=10, endpoints=2)
 
 
 def test_a_sighup_and_a_ban_at_one_admin_server_become_proposals(tmp_path: Path) -> None:
@@ -375,7 +375,7 @@
         scenario,
         ProcessCluster(tmp_path, 5, 3, ClusterOptions(cluster_config='on_lost = "keep"')),
         per_s=10,
-        transcribers=2,
+        endpoints=2,
     )
 
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -344,7 +344,7 @@
     links = [
         (name, peer) for name in cluster.names for peer in neighbours(name, cluster.names) if name < peer
     ]
-    for name, peer in cluster.chance.sample(links, len(links) // 3):
+    for name, peer in cluster.rng.sample(links, len(links) // 3):
         cluster.cut_links |= {(name, peer), (peer, name)}
     cluster.write(cluster.names[0], BAN, "s-1", Ban(5))
     elapsed_ns = cluster.run_until(
--- a/tests/test_replica_mesh.py
+++ b/tests/test_replica_mesh.py
@@ -35,7 +35,7 @@
     tmp_path: Path, scenario: Callable[[ProcessCluster], Awaitable[None]], nodes: int = NODES, **options: Any
 ) -> None:
     """Starts node processes with replication, runs a scenario on them, and stops them."""
-    start = {"per_s": 5.0, "transcribers": 3, **options.pop("start", {})}
+    start = {"per_s": 5.0, "endpoints": 3, **options.pop("start", {})}
     cluster = ProcessCluster(
         tmp_path, nodes, 3, ClusterOptions(**{"replication_config": REPLICATION_ON, **options})
     )
--- a/tests/test_resumption_machine.py
+++ b/tests/test_resumption_machine.py
@@ -85,9 +85,7 @@
         self.mqtt_connection: MqttConnection | None = None
         self.in_transit = b""  # from the device to the node
         self.open_count = self.line_count = 0
-        self.sent_lines: dict[int, list[bytes]] = {}  # lines to the endpoint, by request
         self.expected_lines: dict[int, list[bytes]] = {}  # lines not yet at the device, by request
-        self.seen: dict[PlatformUpstream, bytes] = {}
         self.answer_counts: dict[bytes, int] = {}
         self.connect(True)
 
@@ -158,7 +156,6 @@
         for _ in range(count):
             self.line_count += 1
             line = b"%d up %d" % (self.open_count, self.line_count)
-            self.sent_lines.setdefault(self.open_count, []).append(line)
             self.device.publish("up", line)
 
     # --- the endpoint ----------------------------------------------------------------------------
--- a/tests/test_xmpp.py
+++ b/tests/test_xmpp.py
@@ -118,7 +118,7 @@
     client.send(open_request(3000))
     first = accept_attempt(deployment.endpoints)
     if established:
-        establish_session(deployment.endpoints, client, first)
+        establish_session(client, first)
     else:
         negotiate_as_endpoint(first[1])
     if how == "stream":
@@ -191,7 +191,7 @@
     client, _ = xmpp.connect_and_bind()
     client.send(open_request(3000))
     first = accept_attempt(deployment.endpoints)
-    upstream = establish_session(deployment.endpoints, client, first)
+    upstream = establish_session(client, first)
     connected_before, _ = xmpp.connect_and_bind()
     deployment.discovery.set_endpoint(
         f"s-{deployment.endpoints.index(first[0])}", first[0].address, "draining"
@@ -208,7 +208,7 @@
         peer.send(open_request(3000))
         chosen, accepted = accept_attempt(deployment.endpoints)
         assert chosen is not first[0], number
-        establish_session(deployment.endpoints, peer, (chosen, accepted))
+        establish_session(peer, (chosen, accepted))
     assert not first[0].has_pending_connection()
 
 
@@ -216,7 +216,7 @@
     xmpp = XmppDeployment(deployment)
     client, _ = xmpp.connect_and_bind()
     client.send(open_request(3000))
-    upstream = establish_session(deployment.endpoints, client, accept_attempt(deployment.endpoints))
+    upstream = establish_session(client, accept_attempt(deployment.endpoints))
     idle, _ = xmpp.connect_and_bind()
     xmpp.node.process.terminate()
     assert b"<move" in client.read_until(b"</stream:stream>") and upstream.wait_for_close() == "end"
@@ -387,5 +387,5 @@
     listed, xmpp_endpoint = deployment.endpoints
     client, _ = XmppDeployment(deployment, port=xmpp_endpoint.port, endpoint_count=1).connect_and_bind()
     client.send(open_request(3000))
-    establish_session(deployment.endpoints, client, (xmpp_endpoint, xmpp_endpoint.accept()))
+    establish_session(client, (xmpp_endpoint, xmpp_endpoint.accept()))
     assert not listed.has_pending_connection()
--- a/tests/xmpp_stand_ins.py
+++ b/tests/xmpp_stand_ins.py
@@ -149,9 +149,7 @@
 SESSION_UP = b"<up xmlns='urn:puffinpost:session:0' receipt='77'/>"
 
 
-def establish_session(
-    endpoints: list[StandInEndpoint], client: SocketPeer, accepted: tuple[StandInEndpoint, SocketPeer]
-) -> SocketPeer:
+def establish_session(client: SocketPeer, accepted: tuple[StandInEndpoint, SocketPeer]) -> SocketPeer:
     """Accepts the session as the endpoint; returns once the client has received that."""
     upstream = accepted[1]
     answer_iq(upstream, negotiate_as_endpoint(upstream), SESSION_UP)
