--- a/puffinpost/net/handover_channel.py
+++ b/puffinpost/net/handover_channel.py
@@ -98,7 +98,7 @@
             self.socket.close()
             self._assembler.close()
             for datagram in self._unsent:
-                _close_all(datagram.sockets)
+                close_sockets(datagram.sockets)
             self._unsent.clear()
 
     def _flush(self) -> None:
@@ -112,7 +112,7 @@
                 self._on_lost(error)
             else:
                 self._unsent.popleft()
-                _close_all(sockets)
+                close_sockets(sockets)
         events = IOLoop.READ | (IOLoop.WRITE if self._unsent else 0)
         if events != self._watched_events and not self.closed:
             self._watched_events = events
@@ -147,14 +147,14 @@
             raise EOFError
         sockets = [socket.socket(fileno=descriptor) for descriptor in descriptors]
         if flags & (socket.MSG_TRUNC | socket.MSG_CTRUNC):
-            _close_all(sockets)
+            close_sockets(sockets)
             raise HandoverFormatError(
                 f"a datagram was truncated to {len(data)} bytes, {len(sockets)} sockets"
             )
         try:
             return self._assembler.feed(data, sockets)
         except HandoverFormatError:
-            _close_all(sockets)
+            close_sockets(sockets)
             raise
 
     def _dispatch(self, message: Datagram) -> None:
@@ -163,10 +163,10 @@
             self.on_message(_parse(message.data), sockets)
         except PuffinpostError as error:
             log.info("handover message is invalid", reason=error)
-            _close_all(sockets)
+            close_sockets(sockets)
         except Exception:  # noqa: BLE001 (boundary: a defect with one message must not end the channel)
             log.exception("handover message failed")
-            _close_all(sockets)
+            close_sockets(sockets)
 
     def _on_lost(self, error: Exception) -> None:
         if not isinstance(error, EOFError):
@@ -183,7 +183,8 @@
     return message
 
 
-def _close_all(sockets: Sequence[socket.socket]) -> None:
+def close_sockets(sockets: Sequence[socket.socket]) -> None:
+    """Closes this process's descriptors of sockets."""
     for each in sockets:
         each.close()
 
--- a/puffinpost/runtime/unacknowledged_sessions.py
+++ b/puffinpost/runtime/unacknowledged_sessions.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
+from puffinpost.net.handover_channel import close_sockets
+from puffinpost.observability import log
 from puffinpost.runtime.handover_messages import SessionMessage, SessionReceived
 
 
@@ -42,7 +44,7 @@
         if sent is None:
             return
         if answer.adopted:
-            _close_all(sent.sockets)
+            close_sockets(sent.sockets)
         else:
             self._continue(sent)
 
@@ -54,10 +56,10 @@
         return len(sent)
 
     def _continue(self, sent: _SentSession) -> None:
-        if not self._restore(sent.message, sent.sockets):
-            _close_all(sent.sockets)
-
-
-def _close_all(sockets: list[socket.socket]) -> None:
-    for each in sockets:
-        each.close()
+        restored = False
+        try:
+            restored = self._restore(sent.message, sent.sockets)
+        except Exception:  # noqa: BLE001 (boundary: a defect with one session must not end the others)
+            log.exception("hot restart: session not continued")
+        if not restored:
+            close_sockets(sent.sockets)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -30,6 +30,8 @@
     fits_one_datagram,
     fragments,
 )
+from puffinpost.runtime.handover_messages import EstablishedSessionHandover, SessionMessage
+from puffinpost.runtime.unacknowledged_sessions import UnacknowledgedSessions
 
 NO_WORK_S = 3.0  # for how long nothing may be sent to draining endpoints
 SESSION_COUNT = 60
@@ -108,6 +110,11 @@
         self.send({"do": "forms", "highest": 2})
         self.send(STORED_MESSAGES["ready"])
 
+    def serve(self) -> None:
+        """Takes over, and requests the sessions."""
+        self.receive("yours")
+        self.send({"do": "serving"})
+
     def receive_session(self) -> tuple[int, list[socket.socket]]:
         """Returns the next session's number and its sockets."""
         data, sockets = self.receive("session")
@@ -142,8 +149,7 @@
     node, pairs = start_with_sessions(deployment, 4)
     for text in (b"first", b"second"):
         successor = AcknowledgingSuccessor(deployment.folder)
-        successor.receive("yours")
-        successor.send({"do": "serving"})
+        successor.serve()
         sockets = [each for _ in pairs for each in successor.receive_session()[1]]
         for client, _ in pairs:
             client.send(text[:2])
@@ -160,8 +166,7 @@
 def test_a_session_that_the_successor_refuses_goes_on_at_the_predecessor(deployment: Deployment) -> None:
     node, pairs = start_with_sessions(deployment, 2)
     successor = AcknowledgingSuccessor(deployment.folder)
-    successor.receive("yours")
-    successor.send({"do": "serving"})
+    successor.serve()
     adopted, adopted_sockets = successor.receive_session()
     refused, refused_sockets = successor.receive_session()
     successor.send({"do": "received", "seq": adopted, "adopted": True})
@@ -176,8 +181,7 @@
 def test_another_successor_is_refused_while_sessions_are_under_way(deployment: Deployment) -> None:
     node, pairs = start_with_sessions(deployment, 1)
     first = AcknowledgingSuccessor(deployment.folder)
-    first.receive("yours")
-    first.send({"do": "serving"})
+    first.serve()
     number, _sockets = first.receive_session()
     second = AcknowledgingSuccessor(deployment.folder)
     assert second.channel.recv(1) == b""
@@ -261,6 +265,21 @@
     assert old.read_metrics()["open_requests"] == outcomes["goes on"]
 
 
+def test_a_session_that_cannot_be_continued_does_not_keep_the_others_back() -> None:
+    continued: list[str] = []
+
+    def restore(message: SessionMessage, _sockets: list[socket.socket]) -> bool:
+        if message.state["name"] == "defective":
+            raise RuntimeError("a defect")
+        continued.append(message.state["name"])
+        return True
+
+    sessions = UnacknowledgedSessions(restore)
+    for name in ("defective", "sound"):
+        sessions.add(EstablishedSessionHandover({"name": name}), [])
+    assert sessions.restore_all() == 2 and continued == ["sound"] and not sessions
+
+
 # --- framing ------------------------------------------------------------------------------------------
 
 
