review: case 8 asks for the ban after the lease, where it is never in force

Cause: bans that are not agreed on yet are applied at the moment at which the lease ends. One that is asked for after that is answered 202 and applied by nobody until there is a majority again, while retained classes go on being served.

Change: the case kills two of three nodes, waits for the end of the lease and bans then, in place of within the lease; settings that retain the classes are agreed on first.

--- a/review/cluster_2.py
+++ b/review/cluster_2.py
@@ -3,11 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import os
 import random
 import time
 from pathlib import Path
-
-from rig_2 import LOOPBACK, SETTINGS, CannotRunError, Client, Discovery, Node, Record, Transcriber, free_port
+from typing import Any
+
+from rig_2 import (
+    LOOPBACK,
+    PROCESSES,
+    ROOT,
+    SETTINGS,
+    CannotRunError,
+    Client,
+    Discovery,
+    Node,
+    Record,
+    Transcriber,
+    free_port,
+)
 
 NAMES = ("n0", "n1", "n2")
 DRAIN_GRACE_S = 0.5 + 0.05  # Rules.DrainGraceNs, and the 50 ms by which each limit is longer on sockets
@@ -80,6 +95,27 @@
         for name in names:
             await self.nodes[name].process.wait()  # type: ignore[union-attr]
 
+    async def agree_on_settings(self, content: dict[str, Any]) -> None:
+        """Proposes shared settings at the first node, with the operators' command, until all act on them."""
+        file = self.work / "settings.json"
+        file.write_text(json.dumps(content))
+        node = self.nodes[NAMES[0]]
+        command = ["-m", "puffinpost", "settings", "--node", node.name, "propose", str(file), "--why", "case"]
+        process = await asyncio.create_subprocess_exec(
+            str(ROOT / ".venv/bin/python"),
+            *command,
+            cwd=ROOT,
+            env={**os.environ, "GW_EDGE": str(node.folder / "edge.toml")},
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        PROCESSES.append(process)
+        output, _ = await process.communicate()
+        self.record(f"settings propose: {process.returncode} {output.decode().strip()}")
+        if process.returncode:
+            raise CannotRunError("the settings were not agreed on")
+        await asyncio.sleep(1)
+
     async def load(self, name: str, rate: float, for_s: float) -> None:
         """Clients that come to a node at a rate, whatever it answers, and stay for the time."""
 
