--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -216,6 +216,9 @@
         self.writers: dict[str, asyncio.StreamWriter] = {}
         self.on_open: Callable[[str], Awaitable[None]] | None = None  # before UP
         self.echoes = True
+        self.report: Callable[[int], str] = lambda count: (
+            f"x0={count / FULL_CONNECTIONS:.3f},concurrent={count}"
+        )
         self._receipts = 0
 
     async def start(self) -> str:
@@ -239,8 +242,7 @@
                 elif words[0] == b"PING":
                     writer.write(b"PONG\r\n")
                 elif words[0] == b"STATS":
-                    count = len(self.writers)
-                    writer.write(b"PONG x0=%.3f,concurrent=%d\r\n" % (count / FULL_CONNECTIONS, count))
+                    writer.write(f"PONG {self.report(len(self.writers))}\r\n".encode())
                 elif words[0] == b"OPEN" and len(words) == 4:
                     request_id = words[1].decode()
                     self.opened.append((began, request_id))
@@ -284,6 +286,7 @@
         edge: str = "",
         new_console: bool = False,
         inherited: socket.socket | None = None,
+        sockets: int = 1024,
     ) -> asyncio.subprocess.Process:
         """Starts a process of the node; the one before, if any, goes on."""
         if new_console:
@@ -295,7 +298,7 @@
             "listen": f"{LOOPBACK}:{self.port}",
             "discovery": discovery,
             "seed": f"{random.getrandbits(64):x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
             "known": known,
             "console": f"{LOOPBACK}:{self.console}",
             "settings": {**SETTINGS, **(settings or {})},
