review: case 7, a reset during the TLS handshake leaves an XMPP client unanswered

Cause: after a failed handshake with a transcriber the attempt is never ended, as closing its connection raises; the time-out and the deadline go through the same call before they answer.

--- a/review/xmpp_2.py
+++ b/review/xmpp_2.py
@@ -9,6 +9,7 @@
 import hmac
 import re
 import secrets
+import ssl
 from collections.abc import Callable
 
 from rig_2 import LOOPBACK, Record
@@ -17,6 +18,8 @@
 SESSION = "urn:puffinpost:session:0"
 SASL = "urn:ietf:params:xml:ns:xmpp-sasl"
 SM = "urn:xmpp:sm:3"
+TLS = "urn:ietf:params:xml:ns:xmpp-tls"
+BREAK_AFTER_S = 0.02
 HEADER = (
     "<?xml version='1.0'?><stream:stream xmlns='jabber:client' "
     "xmlns:stream='http://etherx.jabber.org/streams' to='localhost' version='1.0'>"
@@ -104,11 +107,15 @@
         assert found is not None
         self.token, self.handled = found[1], 0
 
-    async def open(self, iq_id: str, wait_ms: int = 4800, request_class: str = "live-text") -> str:
-        """Opens a session; returns the answer."""
+    def open_request(self, iq_id: str, wait_ms: int, request_class: str = "live-text") -> str:
+        """Returns the IQ that opens a session."""
+        self.record(f"{self.user} sends open {iq_id}, waits {wait_ms} ms")
         attributes = f"class='{request_class}' wait='{wait_ms}' key='{secrets.token_hex(8)}'"
-        self.stream.write(f"<iq type='set' id='{iq_id}'><open xmlns='{SESSION}' {attributes}/></iq>")
-        self.record(f"{self.user} sent open {iq_id}")
+        return f"<iq type='set' id='{iq_id}'><open xmlns='{SESSION}' {attributes}/></iq>"
+
+    async def open(self, iq_id: str, wait_ms: int = 4800) -> str:
+        """Opens a session; returns the answer."""
+        self.stream.write(self.open_request(iq_id, wait_ms))
         return await self.stanza(f"<iq [^>]*id='{iq_id}'.*?</iq>", wait_ms / 1000 + 1)
 
     async def stanza(self, pattern: str = "<iq .*?</iq>|<message.*?</message>", within_s: float = 10) -> str:
@@ -146,6 +153,10 @@
         self.ended = 0
         self.on_session: Callable[[Stream], None] = lambda _stream: None
         self.on_message: Callable[[Stream, str], None] = lambda stream, text: stream.write(text)  # the echo
+        self.tls: ssl.SSLContext | None = None  # with one, STARTTLS is required
+        self.breaks: Callable[[], bool] = lambda: (
+            False
+        )  # whether to reset this connection during the handshake
 
     async def start(self) -> str:
         """Listens; returns the address."""
@@ -157,6 +168,8 @@
         header = HEADER.replace("to='localhost'", f"from='{FAR_DOMAIN}' id='t'")
         try:
             await stream.until("<stream:stream[^>]*>")
+            if self.tls is not None and not await self._start_tls(stream, header, self.tls):
+                return
             mechanism = f"<mechanisms xmlns='{SASL}'><mechanism>ANONYMOUS</mechanism></mechanisms>"
             stream.write(f"{header}<stream:features>{mechanism}</stream:features>")
             await stream.until("<auth[^>]*(/>|>.*?</auth>)")
@@ -186,6 +199,23 @@
                 self.on_message(stream, text)
         except (EOFError, OSError, TimeoutError):
             pass
-        self.ended += 1
-        self.record(f"{self.name} end of a stream")
-        writer.close()
+        finally:
+            self.ended += 1
+            self.record(f"{self.name} end of a stream")
+            writer.close()
+
+    async def _start_tls(self, stream: Stream, header: str, context: ssl.SSLContext) -> bool:
+        """Upgrades a stream to TLS; returns whether it goes on."""
+        required = f"<starttls xmlns='{TLS}'><required/></starttls>"
+        stream.write(f"{header}<stream:features>{required}</stream:features>")
+        await stream.until("<starttls[^>]*/>")
+        stream.write(f"<proceed xmlns='{TLS}'/>")
+        if self.breaks():
+            await stream.writer.drain()
+            await asyncio.sleep(BREAK_AFTER_S)
+            stream.writer.transport.abort()
+            self.record(f"{self.name} reset a connection during the TLS handshake")
+            return False
+        await stream.writer.start_tls(context)
+        await stream.until("<stream:stream[^>]*>")
+        return True
