--- a/review/cluster_2.py
+++ b/review/cluster_2.py
@@ -29,6 +29,7 @@
 # What the stand-in may be late in noting a first byte: in the node's favour.
 STAND_IN_LAG_S = 0.1
 START_TIMEOUT_S = 30.0
+IN_USE_AFTER_S = 1.5  # "Classes appear (in use after 1.2 s [...])"
 
 
 class Cluster:
@@ -114,7 +115,7 @@
         self.record(f"settings propose: {process.returncode} {output.decode().strip()}")
         if process.returncode:
             raise CannotRunError("the settings were not agreed on")
-        await asyncio.sleep(1)
+        await asyncio.sleep(IN_USE_AFTER_S)
 
     async def load(self, name: str, rate: float, for_s: float) -> None:
         """Clients that come to a node at a rate, whatever it answers, and stay for the time."""
