--- a/review/7/case.py
+++ b/review/7/case.py
@@ -85,9 +85,8 @@
         answers.append(asyncio.ensure_future(is_answered(xmpp.Client(record, port, user, "secret"))))
         await asyncio.sleep(1 / ARRIVALS_PER_S)
     answered = await asyncio.gather(*answers)
-    record(
-        f"of {CLIENTS} clients {sum(answered)} were answered; connections of s-0: {connections}, reset: {resets}"
-    )
+    placed = f"connections of s-0: {connections}, reset: {resets}"
+    record(f"of {CLIENTS} clients {sum(answered)} were answered; {placed}")
     record(f"the node wrote {node.log_text().count('Traceback')} tracebacks")
     if not connections or (TROUBLE and not resets):
         raise CannotRunError("too little was placed on the failing transcriber")
